--- a/internal/api/peer.gen.go
+++ b/internal/api/peer.gen.go
@@ -139,8 +139,10 @@
 	Fence int64 `json:"fence" yaml:"fence"`
 
 	// Holder Incarnation of the holder; empty when released.
-	Holder   string `json:"holder" yaml:"holder"`
-	Renewals int64  `json:"renewals,omitempty" yaml:"renewals,omitempty"`
+	Holder string `json:"holder" yaml:"holder"`
+
+	// Renewals Number of the write by its holder; no two writes of one holder carry the same.
+	Renewals int64 `json:"renewals,omitempty" yaml:"renewals,omitempty"`
 }
 
 // LimitGrant defines model for LimitGrant.
--- a/internal/lockorder/order.go
+++ b/internal/lockorder/order.go
@@ -19,6 +19,7 @@
 	RankQueue          Rank = 80
 	RankBills          Rank = 90
 	RankRetryBudgets   Rank = 100
+	RankLeases         Rank = 103
 	RankDuties         Rank = 105
 	RankTelemetry      Rank = 110
 )
