--- a/internal/lockorder/order.go
+++ b/internal/lockorder/order.go
@@ -12,6 +12,7 @@
 	RankConfiguration  Rank = 10
 	RankPeers          Rank = 20
 	RankBackendServers Rank = 30
+	RankPrefixIndex    Rank = 35
 	RankVersions       Rank = 40
 	RankSessionPins    Rank = 50
 	RankOrders         Rank = 60
