--- a/internal/lockorder/order.go
+++ b/internal/lockorder/order.go
@@ -21,6 +21,8 @@
 	RankRetryBudgets   Rank = 100
 	RankDuties         Rank = 105
 	RankTelemetry      Rank = 110
+	// RankStandin is the rank of every table of the stand-ins; no two of them are held together.
+	RankStandin Rank = 120
 )
 
 // Mutex is a mutual exclusion lock with a rank.
