--- /dev/null
+++ b/internal/platform/httpclient/services.go
@@ -0,0 +1,86 @@
+package httpclient
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+
+	"github.com/pkg/errors"
+
+	"github.com/cicadawall/cicadawall/internal/api"
+)
+
+const (
+	instancesPath = "/v1/instances"
+	ratingsPath   = "/v1/ratings"
+	weightsPath   = "/v1/weights/"
+)
+
+// get reads a JSON message.
+func (c *Client) get(ctx context.Context, call call, into any) error {
+	call.method = http.MethodGet
+	reply, err := c.do(ctx, call)
+	if err != nil {
+		return err
+	}
+	if reply.status != http.StatusOK {
+		return call.unexpected(reply.status)
+	}
+	return call.decode(reply, into)
+}
+
+type instanceList struct{ client *Client }
+
+// List implements platform.Instances. Error: ErrUnavailable.
+func (l instanceList) List(ctx context.Context) ([]api.InstanceEntry, error) {
+	var list api.InstanceList
+	err := l.client.get(ctx, call{step: "list instances", path: instancesPath}, &list)
+	return list.Entries, err
+}
+
+type ratingService struct{ client *Client }
+
+// Submit implements platform.Ratings. Errors: ErrUnavailable, ErrAmbiguous.
+func (r ratingService) Submit(ctx context.Context, request api.RatingRequest) error {
+	body, err := json.Marshal(request)
+	if err != nil {
+		return errors.Wrap(err, "encode rating request")
+	}
+	call := call{step: "submit rating", method: http.MethodPost, path: ratingsPath, body: body, json: true, write: true}
+	reply, err := r.client.do(ctx, call)
+	if err != nil {
+		return err
+	}
+	if reply.status != http.StatusAccepted {
+		return call.unexpected(reply.status)
+	}
+	return nil
+}
+
+// Results implements platform.Ratings. Error: ErrUnavailable.
+func (r ratingService) Results(ctx context.Context, instance, cursor string) (api.RatingResults, error) {
+	query := url.Values{"instance": {instance}, "after": {cursor}}
+	var results api.RatingResults
+	err := r.client.get(ctx, call{step: "list ratings", path: ratingsPath, query: query}, &results)
+	return results, err
+}
+
+type weightStore struct{ client *Client }
+
+// Request implements platform.Weights. A refusal for the rate is a grant of 0 bytes with the wait, not an error.
+// Errors: ErrUnavailable, ErrAmbiguous.
+func (w weightStore) Request(ctx context.Context, model, version string) (api.WeightGrant, error) {
+	path := weightsPath + url.PathEscape(model) + "/" + url.PathEscape(version)
+	call := call{step: "request weights", method: http.MethodPost, path: path, write: true}
+	reply, err := w.client.do(ctx, call)
+	if err != nil {
+		return api.WeightGrant{}, err
+	}
+	if reply.status != http.StatusOK && reply.status != http.StatusTooManyRequests {
+		return api.WeightGrant{}, call.unexpected(reply.status)
+	}
+	var grant api.WeightGrant
+	err = call.decode(reply, &grant)
+	return grant, err
+}
