Add stand-ins for platform, engine and order server

The engine batches requests on a worker pool, caches prompt prefixes and numbers every event of a stream; its answers depend only on version, prompt and seed. Faults are set over /standin/v1/.

--- a/internal/api/engine.gen.go
+++ b/internal/api/engine.gen.go
@@ -118,3 +118,15 @@
 	Model   string `json:"model" yaml:"model"`
 	Version string `json:"version" yaml:"version"`
 }
+
+// CreateEngineCompletionParams defines parameters for CreateEngineCompletion.
+type CreateEngineCompletionParams struct {
+	// XCicadawallCompletionId Id that the chunks carry and that cancel names.
+	XCicadawallCompletionId string `json:"X-Cicadawall-Completion-Id,omitempty" yaml:"X-Cicadawall-Completion-Id,omitempty"`
+
+	// XCicadawallResumeFrom Sequence number of the last chunk received; the answer continues after it.
+	XCicadawallResumeFrom int `json:"X-Cicadawall-Resume-From,omitempty" yaml:"X-Cicadawall-Resume-From,omitempty"`
+
+	// XCicadawallPriority Higher is served first, 0 to 9.
+	XCicadawallPriority int `json:"X-Cicadawall-Priority,omitempty" yaml:"X-Cicadawall-Priority,omitempty"`
+}
--- /dev/null
+++ b/internal/standin/engine/admin.go
@@ -0,0 +1,142 @@
+package engine
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/cicadawall/cicadawall/internal/api"
+)
+
+const (
+	maxKVBytes  = 16 << 20
+	contentType = "application/octet-stream"
+)
+
+func (s *Server) adminRoutes() {
+	s.echo.GET("/admin/load", func(c echo.Context) error { return c.JSON(http.StatusOK, s.load(time.Now())) })
+	s.echo.GET("/admin/cache-events", s.cacheEvents)
+	s.echo.POST("/admin/commands", s.command)
+	s.echo.POST("/admin/cancel", s.cancel)
+	s.echo.POST("/admin/kv/export", s.exportKV)
+	s.echo.POST("/admin/kv/import", s.importKV)
+}
+
+func (s *Server) cacheEvents(c echo.Context) error {
+	after, _ := strconv.ParseInt(c.QueryParam("after"), 10, 64)
+	return c.JSON(http.StatusOK, s.cache.eventsAfter(after, time.Now()))
+}
+
+func (s *Server) command(c echo.Context) error {
+	var command api.EngineCommand
+	if err := c.Bind(&command); err != nil {
+		return err
+	}
+	if !command.Action.Valid() {
+		return c.String(http.StatusBadRequest, "unknown action")
+	}
+	state, ok := s.state.command(command, time.Now())
+	if !ok {
+		return c.String(http.StatusConflict, "old fencing number")
+	}
+	return c.JSON(http.StatusOK, state)
+}
+
+func (s *Server) cancel(c echo.Context) error {
+	var request api.CancelRequest
+	if err := c.Bind(&request); err != nil {
+		return err
+	}
+	if found, ok := s.registry.find(request.Id); ok {
+		found.cancel()
+	}
+	return c.NoContent(http.StatusOK)
+}
+
+// exportKV answers with the names of the completion's prompt blocks, which stand for the KV cache itself.
+func (s *Server) exportKV(c echo.Context) error {
+	var request api.CancelRequest
+	if err := c.Bind(&request); err != nil {
+		return err
+	}
+	found, ok := s.registry.find(request.Id)
+	if !ok {
+		return c.NoContent(http.StatusNotFound)
+	}
+	body, err := json.Marshal(found.blocks)
+	if err != nil {
+		return err
+	}
+	return c.Blob(http.StatusOK, contentType, body)
+}
+
+func (s *Server) importKV(c echo.Context) error {
+	body, err := io.ReadAll(io.LimitReader(c.Request().Body, maxKVBytes))
+	if err != nil {
+		return err
+	}
+	var blocks []string
+	if err := json.Unmarshal(body, &blocks); err != nil {
+		return c.String(http.StatusBadRequest, "not an export of this engine")
+	}
+	s.cache.use(blocks, s.state.getSettings(), time.Now())
+	return c.NoContent(http.StatusOK)
+}
+
+// standinRoutes adds the commands of tests and demonstrations.
+func (s *Server) standinRoutes() {
+	s.echo.GET("/standin/v1/settings", func(c echo.Context) error { return c.JSON(http.StatusOK, s.state.getSettings()) })
+	s.echo.PUT("/standin/v1/settings", s.setSettings)
+	s.echo.PUT("/standin/v1/versions", s.setVersion)
+	s.echo.GET("/standin/v1/faults", func(c echo.Context) error { return c.JSON(http.StatusOK, s.state.getFaults()) })
+	s.echo.PUT("/standin/v1/faults", s.setFaults)
+	s.echo.GET("/standin/v1/counts", func(c echo.Context) error { return c.JSON(http.StatusOK, s.Counts()) })
+}
+
+// Counts returns the numbers of completions.
+func (s *Server) Counts() api.EngineStandinCounts { return s.state.getCounts() }
+
+// SetFaults replaces the faults in force.
+func (s *Server) SetFaults(faults api.EngineStandinFaults) {
+	if faults.Crash {
+		s.Crash()
+	}
+	s.state.setFaults(faults)
+}
+
+// SetVersion adds or changes a version.
+func (s *Server) SetVersion(version api.EngineStandinVersion) { s.state.setVersion(version) }
+
+// SetDraining makes the engine refuse new completions, or take them again.
+func (s *Server) SetDraining(draining bool) { s.state.setDraining(draining) }
+
+func (s *Server) setSettings(c echo.Context) error {
+	var settings api.EngineStandinSettings
+	if err := c.Bind(&settings); err != nil {
+		return err
+	}
+	s.state.setSettings(settings)
+	return c.NoContent(http.StatusOK)
+}
+
+func (s *Server) setVersion(c echo.Context) error {
+	var version api.EngineStandinVersion
+	if err := c.Bind(&version); err != nil {
+		return err
+	}
+	s.SetVersion(version)
+	return c.NoContent(http.StatusOK)
+}
+
+func (s *Server) setFaults(c echo.Context) error {
+	var faults api.EngineStandinFaults
+	if err := c.Bind(&faults); err != nil {
+		return err
+	}
+	s.SetFaults(faults)
+	return c.NoContent(http.StatusOK)
+}
--- /dev/null
+++ b/internal/standin/engine/state.go
@@ -0,0 +1,188 @@
+package engine
+
+import (
+	"sort"
+	"time"
+
+	"github.com/cicadawall/cicadawall/internal/api"
+	"github.com/cicadawall/cicadawall/internal/lockorder"
+)
+
+// Defaults of the settings.
+const (
+	defaultBatch       = 16
+	defaultQueue       = 64
+	defaultTokenMillis = 10
+	defaultPrefill     = 100
+	defaultCacheBlocks = 4096
+	defaultRole        = "mixed"
+)
+
+type versionKey struct{ model, version string }
+
+type versionState struct {
+	settings api.EngineStandinVersion
+	// readyAt is when a load in progress ends.
+	readyAt time.Time
+	started int
+}
+
+// stateTable holds settings, faults, versions, fence and counters of the engine.
+type stateTable struct {
+	mu       *lockorder.Mutex
+	settings api.EngineStandinSettings
+	faults   api.EngineStandinFaults
+	versions map[versionKey]*versionState
+	fence    int64
+	role     string
+	counts   api.EngineStandinCounts
+}
+
+func withDefaults(settings api.EngineStandinSettings) api.EngineStandinSettings {
+	if settings.Batch == 0 {
+		settings.Batch = defaultBatch
+	}
+	if settings.Queue == 0 {
+		settings.Queue = defaultQueue
+	}
+	if settings.TokenMillis == 0 {
+		settings.TokenMillis = defaultTokenMillis
+	}
+	if settings.PrefillMicros == 0 {
+		settings.PrefillMicros = defaultPrefill
+	}
+	if settings.CacheBlocks == 0 {
+		settings.CacheBlocks = defaultCacheBlocks
+	}
+	return settings
+}
+
+func newStateTable(settings api.EngineStandinSettings) *stateTable {
+	t := &stateTable{mu: lockorder.New(lockorder.RankStandin), versions: map[versionKey]*versionState{}, role: defaultRole}
+	t.setSettings(settings)
+	return t
+}
+
+// setSettings replaces the settings. Versions that it names are added or changed, others stay. Batch, queue and cache
+// keep the sizes of the start.
+func (t *stateTable) setSettings(settings api.EngineStandinSettings) {
+	settings = withDefaults(settings)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, version := range settings.Versions {
+		t.setVersionLocked(version)
+	}
+	settings.Versions = nil
+	t.settings = settings
+}
+
+func (t *stateTable) setVersionLocked(version api.EngineStandinVersion) {
+	if version.Quality == 0 {
+		version.Quality = defaultQuality
+	}
+	key := versionKey{version.Model, version.Version}
+	if t.versions[key] == nil {
+		t.versions[key] = &versionState{}
+	}
+	t.versions[key].settings = version
+}
+
+// setVersion adds or changes a version, for example to make it bad from now on.
+func (t *stateTable) setVersion(version api.EngineStandinVersion) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.setVersionLocked(version)
+}
+
+func (t *stateTable) getSettings() api.EngineStandinSettings {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	settings := t.settings
+	for _, key := range t.keysLocked() {
+		settings.Versions = append(settings.Versions, t.versions[key].settings)
+	}
+	return settings
+}
+
+func (t *stateTable) setDraining(draining bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.settings.Draining = draining
+}
+
+func (t *stateTable) keysLocked() []versionKey {
+	keys := make([]versionKey, 0, len(t.versions))
+	for key := range t.versions {
+		keys = append(keys, key)
+	}
+	sort.Slice(keys, func(i, j int) bool {
+		if keys[i].model != keys[j].model {
+			return keys[i].model < keys[j].model
+		}
+		return keys[i].version < keys[j].version
+	})
+	return keys
+}
+
+// loaded returns a version that is loaded at the given time.
+func (t *stateTable) loaded(model, version string, now time.Time) (api.EngineStandinVersion, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	state := t.versions[versionKey{model, version}]
+	if state == nil || !state.settings.Loaded || now.Before(state.readyAt) {
+		return api.EngineStandinVersion{}, false
+	}
+	return state.settings, true
+}
+
+func (t *stateTable) loadedVersions(now time.Time) []api.LoadedVersion {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.loadedLocked(now)
+}
+
+func (t *stateTable) loadedLocked(now time.Time) []api.LoadedVersion {
+	versions := []api.LoadedVersion{}
+	for _, key := range t.keysLocked() {
+		state := t.versions[key]
+		if state.settings.Loaded && !now.Before(state.readyAt) {
+			versions = append(versions, api.LoadedVersion{Model: key.model, Version: key.version})
+		}
+	}
+	return versions
+}
+
+// command brings the engine to the stated state. It reports false if fencing is checked and the fence is old.
+func (t *stateTable) command(command api.EngineCommand, now time.Time) (api.EngineState, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.settings.ChecksFence && command.Fence < t.fence {
+		return api.EngineState{}, false
+	}
+	t.fence = max(t.fence, command.Fence)
+	switch command.Action {
+	case api.ActionLoad:
+		t.loadLocked(command, now)
+	case api.ActionUnload:
+		if state := t.versions[versionKey{command.Model, command.Version}]; state != nil {
+			state.settings.Loaded = false
+		}
+	case api.ActionRole:
+		t.role = command.Role
+	}
+	return api.EngineState{Fence: t.fence, Role: t.role, Versions: t.loadedLocked(now)}, true
+}
+
+func (t *stateTable) loadLocked(command api.EngineCommand, now time.Time) {
+	key := versionKey{command.Model, command.Version}
+	state := t.versions[key]
+	if state == nil {
+		t.setVersionLocked(api.EngineStandinVersion{Model: command.Model, Version: command.Version})
+		state = t.versions[key]
+	}
+	if state.settings.Loaded {
+		return
+	}
+	state.settings.Loaded = true
+	state.readyAt = now.Add(time.Duration(t.settings.LoadMillis) * time.Millisecond)
+}
--- /dev/null
+++ b/internal/standin/platform/server.go
@@ -0,0 +1,180 @@
+// Package platform is a stand-in for the platform's services over HTTP: table service, object store, instance list,
+// rating service and weight store, with faults on command. It is meant for tests and demonstrations.
+package platform
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/cicadawall/cicadawall/internal/api"
+	"github.com/cicadawall/cicadawall/internal/platform/memory"
+	"github.com/cicadawall/cicadawall/internal/standin/common"
+)
+
+const (
+	rowsPath       = "/v1/table/rows/"
+	objectsPath    = "/v1/objects/"
+	instanceHeader = "X-Cicadawall-Instance"
+	maxRangeRows   = 1000
+	maxObjectBytes = 16 << 20
+	// maxHang bounds a call that hangs on command.
+	maxHang = time.Minute
+)
+
+// Server is the stand-in.
+type Server struct {
+	echo    *echo.Echo
+	faults  *faultTable
+	rows    *memory.Table
+	objects *memory.Objects
+	list    *listTable
+	ratings *ratingTable
+	weights *weightTable
+}
+
+// New returns a stand-in with empty tables. The seed determines the noise of the scores.
+func New(seed uint64) *Server {
+	s := &Server{
+		echo:    common.NewEcho(),
+		faults:  newFaultTable(),
+		rows:    memory.NewTable(),
+		objects: memory.NewObjects(),
+		list:    newListTable(),
+		ratings: newRatingTable(seed),
+		weights: newWeightTable(),
+	}
+	s.routes()
+	return s
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.echo.ServeHTTP(w, r) }
+
+func (s *Server) routes() {
+	s.echo.PUT(rowsPath+"*", s.putRow)
+	s.echo.GET(rowsPath+"*", s.getRow)
+	s.echo.GET("/v1/table/range", s.rangeRows)
+	s.echo.PUT(objectsPath+"*", s.putObject)
+	s.echo.GET(objectsPath+"*", s.getObject)
+	s.echo.GET("/v1/instances", s.listInstances)
+	s.echo.POST("/v1/ratings", s.submitRating)
+	s.echo.GET("/v1/ratings", s.listRatings)
+	s.echo.POST("/v1/weights/:model/:version", s.requestWeights)
+	s.adminRoutes()
+}
+
+// gate applies latency and faults to one call. For every verdict but serve, lose reply and stale it ends the call.
+func (s *Server) gate(c echo.Context, key string, write bool) verdict {
+	ctx := c.Request().Context()
+	common.Wait(ctx, s.faults.latency())
+	verdict := s.faults.judge(c.Request().Header.Get(instanceHeader), key, write)
+	switch verdict {
+	case verdictHang:
+		common.Wait(ctx, maxHang)
+		common.CloseConnection()
+	case verdictDrop:
+		common.CloseConnection()
+	}
+	return verdict
+}
+
+func refused(c echo.Context) error {
+	return c.String(http.StatusServiceUnavailable, "outage on command")
+}
+
+// key returns the row or object key; it may contain slashes, which arrive escaped or not.
+func key(c echo.Context, prefix string) string {
+	return strings.TrimPrefix(c.Request().URL.Path, prefix)
+}
+
+func (s *Server) putObject(c echo.Context) error {
+	key := key(c, objectsPath)
+	body, err := io.ReadAll(io.LimitReader(c.Request().Body, maxObjectBytes))
+	if err != nil {
+		return err
+	}
+	verdict := s.gate(c, key, true)
+	if verdict == verdictRefuse {
+		return refused(c)
+	}
+	if err := s.objects.PutIfAbsent(c.Request().Context(), key, body); err != nil {
+		return refused(c)
+	}
+	if verdict == verdictLoseReply {
+		common.CloseConnection()
+	}
+	return c.NoContent(http.StatusOK)
+}
+
+func (s *Server) getObject(c echo.Context) error {
+	key := key(c, objectsPath)
+	if s.gate(c, key, false) == verdictRefuse {
+		return refused(c)
+	}
+	value, err := s.objects.Get(c.Request().Context(), key)
+	if err != nil {
+		return c.NoContent(http.StatusNotFound)
+	}
+	return c.Blob(http.StatusOK, "application/octet-stream", value)
+}
+
+func (s *Server) listInstances(c echo.Context) error {
+	if s.gate(c, "", false) == verdictRefuse {
+		return refused(c)
+	}
+	faults := s.faults.get()
+	switch faults.List {
+	case api.ListUnreachable:
+		common.CloseConnection()
+	case api.ListEmpty:
+		return c.JSON(http.StatusOK, api.InstanceList{Entries: []api.InstanceEntry{}})
+	}
+	lag := time.Duration(faults.ListLagMillis) * time.Millisecond
+	return c.JSON(http.StatusOK, api.InstanceList{Entries: s.list.shown(faults.List == api.ListFrozen, time.Now().Add(-lag))})
+}
+
+func (s *Server) submitRating(c echo.Context) error {
+	var request api.RatingRequest
+	if err := c.Bind(&request); err != nil {
+		return err
+	}
+	verdict := s.gate(c, "", true)
+	faults := s.faults.get()
+	if verdict == verdictRefuse || faults.RatingsOutage {
+		return refused(c)
+	}
+	s.ratings.submit(request, time.Now().Add(time.Duration(faults.RatingDelayMillis)*time.Millisecond))
+	if verdict == verdictLoseReply {
+		common.CloseConnection()
+	}
+	return c.NoContent(http.StatusAccepted)
+}
+
+func (s *Server) listRatings(c echo.Context) error {
+	if s.gate(c, "", false) == verdictRefuse || s.faults.get().RatingsOutage {
+		return refused(c)
+	}
+	results := s.ratings.results(c.QueryParam("instance"), c.QueryParam("after"), time.Now())
+	return c.JSON(http.StatusOK, results)
+}
+
+func (s *Server) requestWeights(c echo.Context) error {
+	verdict := s.gate(c, "", true)
+	if verdict == verdictRefuse {
+		return refused(c)
+	}
+	grant := s.weights.request(s.faults.get(), time.Now())
+	if verdict == verdictLoseReply {
+		common.CloseConnection()
+	}
+	if grant.GrantedBytes == 0 {
+		c.Response().Header().Set("Retry-After", strconv.Itoa(1+grant.RetryAfterMillis/1000))
+		return c.JSON(http.StatusTooManyRequests, grant)
+	}
+	return c.JSON(http.StatusOK, grant)
+}
