Add billing ledger with group commit, peer copies and roll-up

A bill is durable when its row is in the table service or a peer in another availability zone holds a copy. Rows are frozen once an attempt to write them was made, so a lost reply never leads to a second grouping under one key.

--- /dev/null
+++ b/internal/billing/ledger.go
@@ -0,0 +1,138 @@
+package billing
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/cicadawall/cicadawall/internal/api"
+	"github.com/cicadawall/cicadawall/internal/fault"
+	"github.com/cicadawall/cicadawall/internal/platform"
+	"github.com/cicadawall/cicadawall/internal/worker"
+)
+
+// Ledger takes the bills of one instance.
+type Ledger struct {
+	config Config
+	buffer *buffer
+}
+
+// NewLedger returns an empty ledger. Its duties must run for Commit to return.
+func NewLedger(config Config) *Ledger {
+	config = config.withDefaults()
+	return &Ledger{config: config, buffer: newBuffer(config.Capacity)}
+}
+
+// Commit returns nil when the bill is durable. If the context ends first, it returns a fault with code bill_not_durable;
+// the bill stays in the ledger and is still written.
+func (l *Ledger) Commit(ctx context.Context, bill api.Bill) error {
+	if bill.Id == "" {
+		return notDurable("the bill has no identity")
+	}
+	durable, ok := l.buffer.add(bill, l.config.Now())
+	if !ok {
+		return notDurable("the buffer of bills is full")
+	}
+	select {
+	case <-durable:
+		return nil
+	case <-ctx.Done():
+		return notDurable("the bill was neither written nor copied in time").WithCause(ctx.Err())
+	}
+}
+
+func notDurable(message string) *fault.Error {
+	return fault.Unknown(fault.StepBill, fault.CodeBillNotDurable, message)
+}
+
+// Room reports whether new work may be admitted. It turns false before the buffer is full, so that the bills of requests
+// already admitted fit.
+func (l *Ledger) Room() bool {
+	return l.buffer.size() < l.config.Capacity-l.config.Capacity/reserveShare
+}
+
+// Waiting returns the number of bills that are not in the table service.
+func (l *Ledger) Waiting() int { return l.buffer.size() }
+
+// Interval returns the present wait between rows.
+func (l *Ledger) Interval() time.Duration {
+	return FlushInterval(l.config.MinFlush, l.config.Instances())
+}
+
+// Duties returns the periodic duties that write and copy bills.
+func (l *Ledger) Duties() []worker.Duty {
+	return []worker.Duty{
+		{Name: "bill-flush", Interval: l.Interval, Timeout: 2 * storeTimeout, Run: l.Flush},
+		{Name: "bill-copy", Interval: worker.Every(copyInterval), Timeout: 4 * copyTimeout, Run: l.Copy},
+	}
+}
+
+// Flush seals the open batch and writes one row. After an ambiguous reply the next call writes the same row again.
+func (l *Ledger) Flush(ctx context.Context) error {
+	l.buffer.seal()
+	row, ok := l.buffer.freeze()
+	if !ok {
+		return nil
+	}
+	row.batch.Incarnation = l.config.Incarnation
+	if err := writeRow(ctx, l.config.Table, ownerKey(l.config.Incarnation, row.batch.Sequence), row.batch); err != nil {
+		return err
+	}
+	l.buffer.land(row)
+	return nil
+}
+
+// writeRow returns nil only if the row is in the table service with this content.
+func writeRow(ctx context.Context, table platform.Table, key string, row api.BillBatch) error {
+	value, err := json.Marshal(row)
+	if err != nil {
+		return errors.Wrap(err, "encode bill row")
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	_, err = table.Put(ctx, key, value, platform.IfAbsent())
+	if !errors.Is(err, platform.ErrConditionFailed) {
+		return errors.Wrapf(err, "write bill row %q", key)
+	}
+	// An earlier attempt wrote the row and its reply was lost.
+	present, err := table.Get(ctx, key)
+	if err != nil {
+		return errors.Wrapf(err, "read back bill row %q", key)
+	}
+	if !bytes.Equal(present.Value, value) {
+		return errors.Errorf("bill row %q holds other bills", key)
+	}
+	return nil
+}
+
+// Drain makes every bill durable without this instance: in the table service, or else at peers. It returns an error if the
+// context ends before.
+func (l *Ledger) Drain(ctx context.Context) error {
+	for {
+		err := l.Flush(ctx)
+		if err == nil && l.buffer.size() == 0 {
+			return nil
+		}
+		if err != nil && l.copyForDrain(ctx) {
+			return nil
+		}
+		if err := ctx.Err(); err != nil {
+			return errors.Wrapf(err, "%d bills are neither written nor copied", l.buffer.size())
+		}
+		if err != nil {
+			wait(ctx, copyInterval)
+		}
+	}
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
