--- a/internal/api/peer.gen.go
+++ b/internal/api/peer.gen.go
@@ -109,6 +109,9 @@
 type EvidenceAck struct {
 	// Held Versions that the owner holds as bad.
 	Held []HeldVersion `json:"held" yaml:"held"`
+
+	// Suspected Versions of which every answer should be rated.
+	Suspected []HeldVersion `json:"suspected,omitempty" yaml:"suspected,omitempty"`
 }
 
 // EvidenceReport defines model for EvidenceReport.
@@ -120,11 +123,21 @@
 
 // EvidenceSample defines model for EvidenceSample.
 type EvidenceSample struct {
-	Class      string  `json:"class" yaml:"class"`
+	// After First version of the chain (model@version) if the answer was a second step.
+	After string `json:"after,omitempty" yaml:"after,omitempty"`
+	Class string `json:"class" yaml:"class"`
+
+	// Confidence Confidence of the first answer of the chain between 0 and 1.
 	Confidence float64 `json:"confidence,omitempty" yaml:"confidence,omitempty"`
-	Model      string  `json:"model" yaml:"model"`
-	Score      float64 `json:"score" yaml:"score"`
-	Version    string  `json:"version" yaml:"version"`
+
+	// Delivered Whether the answer reached the caller; only these count in the test for bad versions.
+	Delivered bool `json:"delivered,omitempty" yaml:"delivered,omitempty"`
+
+	// Floor Mean rating that the choice of the chain counted on for this step.
+	Floor   float64 `json:"floor,omitempty" yaml:"floor,omitempty"`
+	Model   string  `json:"model" yaml:"model"`
+	Score   float64 `json:"score" yaml:"score"`
+	Version string  `json:"version" yaml:"version"`
 }
 
 // HeldVersion defines model for HeldVersion.
