--- /dev/null
+++ b/internal/httpsend/sender_test.go
@@ -0,0 +1,131 @@
+package httpsend
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+func post(t *testing.T, ctx context.Context, url string, body io.Reader) *http.Request {
+	t.Helper()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set("Idempotency-Key", "k1")
+	return request
+}
+
+func sentOf(t *testing.T, err error) bool {
+	t.Helper()
+	var failed *Error
+	if !errors.As(err, &failed) {
+		t.Fatalf("error %v is not an *Error", err)
+	}
+	return failed.Sent
+}
+
+// Guards against reporting work as possibly run when the server cannot even have seen the connection.
+func TestRefusedConnectionIsNotSent(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().String()
+	_ = listener.Close()
+	_, err = New(Options{}).Do(post(t, t.Context(), "http://"+address, strings.NewReader("x")))
+	if sentOf(t, err) {
+		t.Fatalf("refused connection reported as sent: %v", err)
+	}
+}
+
+// Guards against net/http repeating a request on its own after the server took it and closed a reused connection. The
+// replay happens only for requests with an idempotency key and an empty or rewindable body.
+func TestRequestIsNeverRepeated(t *testing.T) {
+	for name, body := range map[string]io.Reader{"empty body": nil, "rewindable body": strings.NewReader("print")} {
+		t.Run(name, func(t *testing.T) {
+			var requests atomic.Int32
+			server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				if requests.Add(1) > 1 {
+					panic(http.ErrAbortHandler)
+				}
+			}))
+			defer server.Close()
+			sender := New(Options{MaxConnsPerHost: 1})
+			response, err := sender.Do(post(t, t.Context(), server.URL, nil))
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, _ = io.Copy(io.Discard, response.Body)
+			_ = response.Body.Close()
+			_, err = sender.Do(post(t, t.Context(), server.URL, body))
+			if !sentOf(t, err) {
+				t.Fatalf("request that the server read is reported as not sent: %v", err)
+			}
+			if got := requests.Load(); got != 2 {
+				t.Fatalf("server saw %d requests, want 2", got)
+			}
+		})
+	}
+}
+
+// Guards against following a redirect, which would run an order at a second address.
+func TestRedirectIsNotFollowed(t *testing.T) {
+	var requests atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		requests.Add(1)
+		http.Redirect(w, r, "/other", http.StatusTemporaryRedirect)
+	}))
+	defer server.Close()
+	response, err := New(Options{}).Do(post(t, t.Context(), server.URL, strings.NewReader("x")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = response.Body.Close()
+	if response.StatusCode != http.StatusTemporaryRedirect || requests.Load() != 1 {
+		t.Fatalf("status %d after %d requests, want 307 after 1", response.StatusCode, requests.Load())
+	}
+}
+
+// Guards against reporting a request as sent that only waited for a free connection until its deadline.
+func TestWaitForConnectionIsNotSent(t *testing.T) {
+	release := make(chan struct{})
+	started := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		close(started)
+		<-release
+	}))
+	defer server.Close()
+	defer close(release)
+	sender := New(Options{MaxConnsPerHost: 1})
+	go func() { _, _ = sender.Do(post(t, t.Context(), server.URL, nil)) }()
+	<-started
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	_, err := sender.Do(post(t, ctx, server.URL, nil))
+	if sentOf(t, err) {
+		t.Fatalf("request without a connection reported as sent: %v", err)
+	}
+}
+
+// Guards against a transport's writer that sends after the request was reported as not sent.
+func TestSealedConnectionWritesNothing(t *testing.T) {
+	near, far := net.Pipe()
+	defer func() { _ = far.Close() }()
+	conn := &trackedConn{Conn: near}
+	attempt := &attempt{uses: []use{{conn: conn}}}
+	if attempt.sealAndReport() {
+		t.Fatal("connection without a write reported as sent")
+	}
+	if _, err := conn.Write([]byte("POST")); !errors.Is(err, net.ErrClosed) {
+		t.Fatalf("write on a sealed connection returned %v, want net.ErrClosed", err)
+	}
+}
