--- /dev/null
+++ b/internal/lease/lease_test.go
@@ -0,0 +1,164 @@
+package lease
+
+import (
+	"context"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cicadawall/cicadawall/internal/platform"
+	"github.com/cicadawall/cicadawall/internal/platform/memory"
+)
+
+// advance lets virtual time pass.
+func advance(d time.Duration) { <-time.After(d) }
+
+// instance is a keeper whose link to the table has faults and delays before and after the effect of a write.
+type instance struct {
+	*Keeper
+	platform.Table
+	fault         memory.Fault
+	before, after time.Duration
+}
+
+func newInstance(table *memory.Table, name string) *instance {
+	i := &instance{}
+	i.Table = table.View(func(memory.Op, string) memory.Fault { return i.fault })
+	i.Keeper = NewKeeper(Config{Table: i, Name: "placement", Incarnation: name})
+	return i
+}
+
+func (i *instance) Put(ctx context.Context, key string, value []byte, cond platform.Condition) (int64, error) {
+	advance(i.before)
+	version, err := i.Table.Put(context.WithoutCancel(ctx), key, value, cond)
+	advance(i.after)
+	return version, err
+}
+
+func (i *instance) acquire(t *testing.T, want bool) {
+	t.Helper()
+	got, err := i.Acquire(context.Background())
+	if got != want || got != i.Valid(time.Now()) {
+		t.Fatalf("held %v, valid %v, want %v (%v)", got, i.Valid(time.Now()), want, err)
+	}
+}
+
+// Guards against a lease taken before the holder's right has ended, and a fence that does not rise.
+func TestTakeoverAfterTTL(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := memory.NewTable()
+		a, b := newInstance(table, "a"), newInstance(table, "b")
+		a.acquire(t, true)
+		advance(5 * time.Second)
+		b.acquire(t, false)
+		advance(9 * time.Second)
+		b.acquire(t, false) // only 9 s since it first saw the row
+		if a.Valid(time.Now()) {
+			t.Fatal("the holder is valid 14 s after its last renewal")
+		}
+		advance(time.Second)
+		b.acquire(t, true)
+		if grant, refused := b.Fence(time.Now()); refused != nil || grant.Fence != 2 {
+			t.Fatalf("fence %d, %v", grant.Fence, refused)
+		}
+		a.acquire(t, false)
+		if _, refused := a.Fence(time.Now()); refused == nil {
+			t.Fatal("the old holder still gets a fence")
+		}
+	})
+}
+
+// Guards against a right counted from a later write than the one in the row: a waiter may have seen that row long before.
+func TestLostRepliesDoNotExtend(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := memory.NewTable()
+		a, b := newInstance(table, "a"), newInstance(table, "b")
+		a.acquire(t, true)
+		a.fault = memory.FaultReplyLost
+		advance(time.Second)
+		_, _ = a.Acquire(context.Background()) // the write is in the row, its reply and the read-back are lost
+		b.acquire(t, false)
+		advance(8 * time.Second)
+		a.fault = memory.FaultNone
+		_, _ = a.Acquire(context.Background()) // finds its own earlier write
+		if grant, refused := a.Fence(time.Now()); refused != nil || grant.Until.Sub(time.Now()) > 2*time.Second {
+			t.Fatalf("the right was extended by a write of 8 s ago: %v, %v", grant.Until.Sub(time.Now()), refused)
+		}
+		a.acquire(t, true)
+		if grant, refused := a.Fence(time.Now()); refused != nil || grant.Until.Sub(time.Now()) < 9*time.Second {
+			t.Fatal("the next renewal did not extend the right")
+		}
+	})
+}
+
+// Guards against a right counted from the reply to a write: a waiter may have seen the row before the reply arrived.
+func TestRightCountsFromStartOfWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := newInstance(memory.NewTable(), "a")
+		a.after = 9 * time.Second
+		a.acquire(t, true)
+		if grant, refused := a.Fence(time.Now()); refused != nil || grant.Until.Sub(time.Now()) > time.Second {
+			t.Fatalf("the right lasts for %v more after a reply that took 9 s", grant.Until.Sub(time.Now()))
+		}
+		b := newInstance(memory.NewTable(), "b")
+		b.after = 11 * time.Second
+		if _, _ = b.Acquire(context.Background()); b.Valid(time.Now()) {
+			t.Fatal("a right whose TTL passed before the reply is valid")
+		}
+	})
+}
+
+// Guards against a released lease that blocks the next holder or comes back to the old one.
+func TestRelease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := memory.NewTable()
+		a, b := newInstance(table, "a"), newInstance(table, "b")
+		a.acquire(t, true)
+		if err := a.Release(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		a.acquire(t, false)
+		b.acquire(t, true)
+		if grant, _ := b.Fence(time.Now()); grant.Fence != 2 {
+			t.Fatalf("fence %d", grant.Fence)
+		}
+	})
+}
+
+// Guards against two holders at one time under random faults, pauses before and after the write, and stale reads.
+func TestNeverTwoHolders(t *testing.T) {
+	for seed := range uint64(60) {
+		synctest.Test(t, func(t *testing.T) {
+			rnd := rand.New(rand.NewPCG(seed, 7))
+			table := memory.NewTable()
+			keepers := []*instance{newInstance(table, "a"), newInstance(table, "b"), newInstance(table, "c")}
+			faults := []memory.Fault{0, 0, 0, 0, memory.FaultUnavailable, memory.FaultReplyLost, memory.FaultRequestLost, memory.FaultStale}
+			held := 0
+			for range 100 {
+				for _, k := range keepers {
+					k.fault = faults[rnd.IntN(len(faults))]
+					k.before = time.Duration(rnd.IntN(100)*rnd.IntN(2)) * 100 * time.Millisecond
+					k.after = time.Duration(rnd.IntN(100)*rnd.IntN(2)) * 100 * time.Millisecond
+					if rnd.IntN(3) > 0 {
+						_, _ = k.Acquire(context.Background())
+					}
+					valid := 0
+					for _, other := range keepers {
+						if other.Valid(time.Now()) {
+							valid++
+						}
+					}
+					if valid > 1 {
+						t.Fatalf("seed %d: %d holders", seed, valid)
+					}
+					held += valid
+				}
+				advance(time.Duration(rnd.IntN(4000)) * time.Millisecond)
+			}
+			if held == 0 {
+				t.Fatalf("seed %d: the lease was never held", seed)
+			}
+		})
+	}
+}
--- a/internal/lease/row.go
+++ b/internal/lease/row.go
@@ -44,7 +44,7 @@
 	version, err := k.put(ctx, value, cond)
 	if err == nil {
 		k.setState(view{known: true, record: next, version: version, seen: started, held: true, renewed: started})
-		return true, nil
+		return k.Valid(k.config.Now()), nil
 	}
 	if errors.Is(err, platform.ErrUnavailable) {
 		return v.held, errors.Wrapf(err, "write lease %s", k.config.Name)
@@ -56,7 +56,7 @@
 	if present == next {
 		// The attempt number makes this write unique, so the right counts from its start.
 		k.setState(view{known: true, record: next, version: version, seen: started, held: true, renewed: started})
-		return true, nil
+		return k.Valid(k.config.Now()), nil
 	}
 	if v.known && version == v.version {
 		return v.held, errors.Wrapf(err, "write lease %s", k.config.Name) // not written, or a stale read; the next round decides
