--- a/internal/billing/holder.go
+++ b/internal/billing/holder.go
@@ -29,7 +29,7 @@
 	// written holds the sequences that this instance wrote and that are therefore not held any more.
 	written map[int64]bool
 	// landed is the highest sequence that the owner is known to have in the table service.
-	landed int64
+	landed  int64
 	touched time.Time
 }
 
