Add the request path, caller front end and backend server table duties

A job carries each request from the queue to its last byte: session, chain, server choice, permit before the send, resumed streams, bill before the end marker. Handlers only decode, submit and write. The fleet duty keeps the table of backend servers from the platform's list and load reports, and bounds each instance's subset.

--- a/api/gen.sh
+++ b/api/gen.sh
@@ -12,7 +12,7 @@
 output: $out/$name.gen.go
 generate: {models: true}
 output-options: {skip-prune: true, yaml-tags: true, prefer-skip-optional-pointer: true, prefer-skip-optional-pointer-with-omitzero: false}
-import-mapping: {common.yaml: "-", declaration.yaml: "-"}
+import-mapping: {common.yaml: "-", declaration.yaml: "-", engine.yaml: "-"}
 EOF
   go tool -modfile=../tools/go.mod oapi-codegen -config "$config" "$spec"
   rm -f "$config"
--- a/internal/api/platform.gen.go
+++ b/internal/api/platform.gen.go
@@ -57,6 +57,9 @@
 	// Service Name of the plain service that a backend server of kind service offers.
 	Service string             `json:"service,omitempty" yaml:"service,omitempty"`
 	State   InstanceEntryState `json:"state" yaml:"state"`
+
+	// Versions Versions that the platform last knew to be loaded; it lags. Empty if the platform does not know.
+	Versions []LoadedVersion `json:"versions,omitempty" yaml:"versions,omitempty"`
 }
 
 // InstanceEntryKind defines model for InstanceEntry.Kind.
--- /dev/null
+++ b/internal/dispatch/gate.go
@@ -0,0 +1,96 @@
+package dispatch
+
+import (
+	"math"
+	"strings"
+
+	"github.com/cicadawall/cicadawall/internal/cascade"
+	"github.com/cicadawall/cicadawall/internal/engine/stream"
+)
+
+// wholeAnswer is a window that only the end of the answer closes.
+const wholeAnswer = math.MaxInt
+
+// gate holds back the first answer of a chain until its confidence is known. A gate without a chain is open.
+type gate struct {
+	chain  *cascade.Chain
+	window int
+
+	held       strings.Builder
+	logprobSum float64
+	tokens     int
+	open       bool
+}
+
+func newGate(chain *cascade.Chain, window int) *gate {
+	return &gate{chain: chain, window: window, open: chain == nil}
+}
+
+// confidence returns the geometric mean probability of the tokens seen, or 0 if the engine sends none.
+func (g *gate) confidence() float64 {
+	if g.tokens == 0 {
+		return 0
+	}
+	return math.Exp(g.logprobSum / float64(g.tokens))
+}
+
+// add takes the next chunk and returns the text to pass on, and whether the next step must run.
+func (g *gate) add(chunk stream.Chunk) (text string, escalate bool) {
+	text = chunkText(chunk)
+	if g.open && g.chain != nil {
+		return text, false
+	}
+	g.observe(chunk)
+	if g.open {
+		return text, false
+	}
+	g.held.WriteString(text)
+	if g.tokens < g.window {
+		return "", false
+	}
+	return g.decide()
+}
+
+// close decides at the end of the answer and returns the text that was held back.
+func (g *gate) close() (text string, escalate bool) {
+	if g.open {
+		return "", false
+	}
+	return g.decide()
+}
+
+func (g *gate) decide() (text string, escalate bool) {
+	if g.chain.Escalate(g.confidence()) {
+		return "", true
+	}
+	g.open = true
+	return g.held.String(), false
+}
+
+func (g *gate) observe(chunk stream.Chunk) {
+	for _, choice := range chunk.Body.Choices {
+		if choice.Logprobs == nil {
+			continue
+		}
+		for _, token := range choice.Logprobs.Content {
+			g.logprobSum += token.Logprob
+			g.tokens++
+		}
+	}
+}
+
+// chunkText returns the text of the first choice; the router asks engines for one choice only.
+func chunkText(chunk stream.Chunk) string {
+	if len(chunk.Body.Choices) == 0 {
+		return ""
+	}
+	return chunk.Body.Choices[0].Delta.Content
+}
+
+// finishReason returns the finish reason of the first choice, if the chunk has one.
+func finishReason(chunk stream.Chunk) string {
+	if len(chunk.Body.Choices) == 0 {
+		return ""
+	}
+	return chunk.Body.Choices[0].FinishReason
+}
--- /dev/null
+++ b/internal/dispatch/plain.go
@@ -0,0 +1,254 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"github.com/cicadawall/cicadawall/internal/admission"
+	"github.com/cicadawall/cicadawall/internal/api"
+	"github.com/cicadawall/cicadawall/internal/fault"
+	"github.com/cicadawall/cicadawall/internal/order"
+	"github.com/cicadawall/cicadawall/internal/retry"
+	"github.com/cicadawall/cicadawall/internal/table"
+)
+
+// plainClass is the class under which plain service calls are queued, retried and measured.
+const plainClass = "service"
+
+// plainPriority places plain calls, which are short, above all classes but the most urgent.
+const plainPriority = 8
+
+// defaultPlainTimeout bounds a call whose declaration names no timeout.
+const defaultPlainTimeout = 10 * time.Second
+
+// plainJob carries one plain service call.
+type plainJob struct {
+	router   *Router
+	ctx      context.Context
+	request  PlainRequest
+	call     *api.ServiceCall
+	deadline time.Time
+	reply    *Reply
+	random   *rand.Rand
+}
+
+// Plain checks and queues a plain service call.
+func (r *Router) Plain(ctx context.Context, request PlainRequest) (*Reply, *fault.Error) {
+	job, item, problem := r.admitPlain(ctx, request)
+	if problem == nil {
+		problem = r.Queue.Submit(item, request.Arrived)
+	}
+	if problem != nil {
+		r.finished(request.ID, request.Organisation, plainClass, problem)
+		return nil, problem
+	}
+	return job.reply, nil
+}
+
+func (r *Router) admitPlain(ctx context.Context, request PlainRequest) (*plainJob, admission.Item, *fault.Error) {
+	snapshot, problem := r.Config.Current(request.Arrived)
+	if problem != nil {
+		return nil, admission.Item{}, problem
+	}
+	organisation, ok := snapshot.Organisation(request.Organisation)
+	if !ok {
+		return nil, admission.Item{}, fault.NotRun(fault.StepAdmit, fault.CodeUnauthenticated, "the organisation is no longer declared")
+	}
+	path, _, _ := strings.Cut(request.Path, "?")
+	call, ok := snapshot.ServiceCall(request.Organisation, request.Service, request.Method, path)
+	if !ok {
+		return nil, admission.Item{}, fault.NotRun(fault.StepAdmit, fault.CodeUnknownService,
+			fmt.Sprintf("organisation %q may use no call %s %s of service %q", request.Organisation, request.Method, path, request.Service))
+	}
+	if !call.Repeatable && request.IdempotencyKey == "" {
+		return nil, admission.Item{}, fault.NotRun(fault.StepAdmit, fault.CodeIdempotencyKeyRequired,
+			"the call must not be repeated; send an Idempotency-Key header")
+	}
+	if !r.Ledger.Room() {
+		return nil, admission.Item{}, fault.NotRun(fault.StepAdmit, fault.CodeBillingBufferFull, "no room for another bill")
+	}
+	if problem := r.Limiter.Admit(organisation.Name, organisation.Limits, 0, 0, request.Arrived); problem != nil {
+		return nil, admission.Item{}, problem
+	}
+	timeout := defaultPlainTimeout
+	if call.TimeoutMillis > 0 {
+		timeout = time.Duration(call.TimeoutMillis) * time.Millisecond
+	}
+	job := &plainJob{
+		router:   r,
+		ctx:      ctx,
+		request:  request,
+		call:     call,
+		deadline: request.Arrived.Add(timeout),
+		reply:    NewReply(),
+		random:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
+	return job, admission.Item{
+		Organisation: organisation.Name,
+		Class:        plainClass,
+		Priority:     plainPriority,
+		Weight:       organisation.Weight,
+		Tokens:       1,
+		Deadline:     job.deadline,
+		Job:          job,
+		Refuse:       job.end,
+	}, nil
+}
+
+func (j *plainJob) end(problem *fault.Error) {
+	j.reply.Finish(problem)
+	j.router.finished(j.request.ID, j.request.Organisation, plainClass, problem)
+}
+
+// Run implements worker.Job.
+func (j *plainJob) Run(pool context.Context) {
+	recorder := j.router.Metrics.For(j.request.Organisation, plainClass)
+	recorder.QueueWait(time.Since(j.request.Arrived))
+	problem := j.serve(pool)
+	if problem == nil {
+		recorder.WholeAnswer(time.Since(j.request.Arrived))
+	}
+	j.end(problem)
+}
+
+func (j *plainJob) serve(pool context.Context) *fault.Error {
+	if _, problem := j.router.Config.Current(time.Now()); problem != nil {
+		return problem
+	}
+	response, problem := j.execute(pool)
+	if problem != nil {
+		return problem
+	}
+	// An order ran: its bill must become durable also when the caller has left.
+	ctx, cancel := context.WithDeadline(context.Background(), j.deadline.Add(billGrace))
+	defer cancel()
+	lines := []api.BillLine{{Kind: lineService, Model: j.request.Service}}
+	bill := newBill(j.request.ID, j.request.Organisation, plainClass, j.billKey(), api.OutcomeAnswered, lines)
+	if err := j.router.Ledger.Commit(ctx, bill); err != nil {
+		return fault.Unknown(fault.StepBill, fault.CodeBillNotDurable, "the call is complete but its bill is not durable").
+			WithCause(err).
+			WithAdvice("repeat the call with the same idempotency key")
+	}
+	if err := j.reply.Send(ctx, Event{Kind: EventEnd, Plain: response}); err != nil {
+		return fault.Unknown(fault.StepStream, fault.CodeCallerGone, "the caller left before the answer").WithCause(err)
+	}
+	return nil
+}
+
+// billKey returns the idempotency key within the service, so that one key used at two services names two bills.
+func (j *plainJob) billKey() string {
+	if j.request.IdempotencyKey == "" {
+		return ""
+	}
+	return j.request.Service + "/" + j.request.IdempotencyKey
+}
+
+func (j *plainJob) execute(pool context.Context) (*PlainResponse, *fault.Error) {
+	if j.call.Repeatable {
+		ctx, cancel := context.WithDeadline(j.ctx, j.deadline)
+		defer cancel()
+		defer context.AfterFunc(pool, cancel)()
+		return j.repeatable(ctx)
+	}
+	// An order is not cancelled when its caller leaves: its result must be recorded for a repeat.
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(j.ctx), j.deadline)
+	defer cancel()
+	response, problem := j.router.Orders.Execute(ctx, order.Request{
+		Organisation:   j.request.Organisation,
+		Service:        j.request.Service,
+		IdempotencyKey: j.request.IdempotencyKey,
+		Method:         j.request.Method,
+		Path:           j.request.Path,
+		ContentType:    j.request.ContentType,
+		Body:           j.request.Body,
+	})
+	if problem != nil {
+		return nil, problem
+	}
+	return &PlainResponse{Status: response.Status, ContentType: response.ContentType, Body: response.Body, Replayed: response.Replayed}, nil
+}
+
+// repeatable makes attempts until one is answered.
+func (j *plainJob) repeatable(ctx context.Context) (*PlainResponse, *fault.Error) {
+	j.router.Retries.Budgets.Request(plainClass, time.Now())
+	servers := PlainServers{Servers: j.router.Servers, AvailabilityZone: j.router.AvailabilityZone}
+	var tried []string
+	for number := 1; ; number++ {
+		server, problem := servers.Choose(j.request.Service, tried)
+		if problem != nil {
+			return nil, problem
+		}
+		tried = append(tried, server.Entry.Id)
+		response, attempt, err := j.attempt(ctx, server)
+		if err == nil {
+			return response, nil
+		}
+		if ctx.Err() != nil {
+			return nil, ended(ctx, j.ctx, attempt, server.Entry.Id)
+		}
+		verdict := j.router.Retries.Budgets.Decide(plainClass, retry.Situation{
+			Attempt: attempt, Number: number, Repeatable: true, Deadline: j.deadline,
+		}, time.Now(), j.random)
+		if !verdict.Retry {
+			return nil, &fault.Error{Step: fault.StepDispatch, Peer: server.Entry.Id, Code: fault.CodeBackendServerFailed,
+				Outcome: verdict.Outcome, Message: fmt.Sprintf("service %q failed after %d attempts, not attempted again: %s",
+					j.request.Service, number, verdict.Reason), Cause: err}
+		}
+		if problem := pause(ctx, verdict.After); problem != nil {
+			return nil, problem
+		}
+	}
+}
+
+// pause waits, or returns the error of a request that ended meanwhile.
+func pause(ctx context.Context, wait time.Duration) *fault.Error {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return fault.Unknown(fault.StepDispatch, fault.CodeDeadlineExceeded, "the deadline passed between attempts").WithCause(ctx.Err())
+	}
+}
+
+// firstServerError is the lowest HTTP status that counts as a failure of the backend server.
+const firstServerError = 500
+
+func (j *plainJob) attempt(ctx context.Context, server table.Server) (*PlainResponse, retry.Attempt, error) {
+	id := server.Entry.Id
+	if !j.router.Servers.Begin(id) {
+		return nil, retry.Attempt{}, fault.NotRun(fault.StepDispatch, fault.CodeNoBackendServer, "the backend server is leaving")
+	}
+	response, failure := j.router.Services.Call(ctx, PlainCall{
+		Organisation: j.request.Organisation,
+		Service:      j.request.Service,
+		Server:       server,
+		Method:       j.request.Method,
+		Path:         j.request.Path,
+		ContentType:  j.request.ContentType,
+		Body:         j.request.Body,
+		Timeout:      time.Until(j.deadline),
+	})
+	attempt := retry.Attempt{Sent: true, Responded: true, Complete: true}
+	var err error
+	switch {
+	case failure != nil:
+		attempt = retry.Attempt{Sent: failure.Sent, Responded: failure.Status != 0, Status: failure.Status, Refused: failure.Refused}
+		err = failure
+	case response.Status >= firstServerError:
+		attempt.Status = response.Status
+		err = fault.Unknown(fault.StepDispatch, fault.CodeBackendServerFailed, fmt.Sprintf("status %d", response.Status)).WithPeer(id)
+	default:
+		attempt.Status = response.Status
+	}
+	failed := err != nil && retry.Failed(attempt) && ctx.Err() == nil
+	now := time.Now()
+	j.router.Servers.End(id, failed, now)
+	until := j.router.Retries.Ejections.End(id, failed, now, j.random)
+	j.router.Servers.Update(id, func(row *table.Server) { row.EjectedUntil = until })
+	return response, attempt, err
+}
--- /dev/null
+++ b/internal/dispatch/router.go
@@ -0,0 +1,196 @@
+package dispatch
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"log/slog"
+	"time"
+
+	"github.com/cicadawall/cicadawall/internal/admission"
+	"github.com/cicadawall/cicadawall/internal/api"
+	"github.com/cicadawall/cicadawall/internal/declaration"
+	"github.com/cicadawall/cicadawall/internal/fault"
+	"github.com/cicadawall/cicadawall/internal/order"
+	"github.com/cicadawall/cicadawall/internal/routing"
+	"github.com/cicadawall/cicadawall/internal/session"
+	"github.com/cicadawall/cicadawall/internal/table"
+	"github.com/cicadawall/cicadawall/internal/telemetry"
+)
+
+// defaultDeadline bounds a request whose class declares none.
+const defaultDeadline = 2 * time.Minute
+
+// Ledger makes bills durable.
+type Ledger interface {
+	// Room reports whether a new bill can be buffered.
+	Room() bool
+	// Commit returns when the bill is durable.
+	Commit(ctx context.Context, bill api.Bill) error
+}
+
+// Limiter checks an organisation's limits.
+type Limiter interface {
+	// Admit takes one request of the given tokens and cost from the organisation's limits, or refuses it.
+	Admit(organisation string, limits api.OrganisationLimits, tokens int, cost float64, now time.Time) *fault.Error
+}
+
+// Orders runs calls that must not be repeated.
+type Orders interface {
+	Execute(ctx context.Context, request order.Request) (order.Response, *fault.Error)
+}
+
+// Sampler passes answers on to be rated.
+type Sampler interface {
+	Sample(answer RatedAnswer)
+}
+
+// RatedAnswer is one whole answer that may be rated.
+type RatedAnswer struct {
+	ID      string
+	Class   string
+	Version declaration.VersionID
+	// After is the first version of the chain if the answer was a second step.
+	After      declaration.VersionID
+	Prompt     string
+	Answer     string
+	Confidence float64
+	Share      float64
+}
+
+// Parts are the tables, protocols and clients that a Router uses.
+type Parts struct {
+	AvailabilityZone string
+	Incarnation      string
+	Config           *table.Config
+	Servers          *table.Servers
+	Prefixes         *routing.PrefixIndex
+	Queue            *admission.Queue
+	Planner          *Planner
+	Sessions         *session.Pins
+	Ledger           Ledger
+	Limiter          Limiter
+	Engine           Engine
+	Services         PlainSender
+	Orders           Orders
+	Retries          *Retries
+	Sampler          Sampler
+	Metrics          *telemetry.Metrics
+	Log              *slog.Logger
+	MaxBodyBytes     int64
+}
+
+// Router takes decoded requests, checks and admits them, and hands them to the worker pool.
+type Router struct {
+	Parts
+}
+
+// NewRouter returns a router over the parts.
+func NewRouter(parts Parts) *Router { return &Router{Parts: parts} }
+
+// MaxBodyBytes returns the size limit of a request body in bytes.
+func (r *Router) MaxBodyBytes() int64 { return r.Parts.MaxBodyBytes }
+
+// Authenticate returns the organisation to which the caller key belongs.
+func (r *Router) Authenticate(key string) (string, *fault.Error) {
+	snapshot := r.Config.Snapshot()
+	if snapshot == nil {
+		return "", fault.NotRun(fault.StepAuthenticate, fault.CodeConfigurationStale, "no configuration is in force yet")
+	}
+	sum := sha256.Sum256([]byte(key))
+	organisation, ok := snapshot.OrganisationByKeyHash(hex.EncodeToString(sum[:]))
+	if !ok {
+		return "", fault.NotRun(fault.StepAuthenticate, fault.CodeUnauthenticated, "the caller key belongs to no organisation")
+	}
+	return organisation.Name, nil
+}
+
+// Models returns the versions that the organisation may use in any class.
+func (r *Router) Models(organisation string) ([]declaration.VersionID, *fault.Error) {
+	snapshot, problem := r.Config.Current(time.Now())
+	if problem != nil {
+		return nil, problem
+	}
+	seen := map[declaration.VersionID]bool{}
+	var ids []declaration.VersionID
+	for _, class := range snapshot.Document.Classes {
+		for _, id := range snapshot.AllowedVersions(organisation, class.Name) {
+			if !seen[id] {
+				seen[id] = true
+				ids = append(ids, id)
+			}
+		}
+	}
+	return ids, nil
+}
+
+// Model checks and queues a model request.
+func (r *Router) Model(ctx context.Context, request ModelRequest) (*Reply, *fault.Error) {
+	job, item, problem := r.admitModel(ctx, request)
+	if problem == nil {
+		problem = r.Queue.Submit(item, request.Arrived)
+	}
+	if problem != nil {
+		r.finished(request.ID, request.Organisation, request.Class, problem)
+		return nil, problem
+	}
+	return job.reply, nil
+}
+
+func (r *Router) admitModel(ctx context.Context, request ModelRequest) (*modelJob, admission.Item, *fault.Error) {
+	snapshot, problem := r.Config.Current(request.Arrived)
+	if problem != nil {
+		return nil, admission.Item{}, problem
+	}
+	class, ok := snapshot.Class(request.Class)
+	if !ok {
+		return nil, admission.Item{}, fault.NotRun(fault.StepAdmit, fault.CodeUnknownClass,
+			fmt.Sprintf("class %q is not declared; name it in the model field as class:<name> or in the class header", request.Class))
+	}
+	organisation, ok := snapshot.Organisation(request.Organisation)
+	if !ok {
+		return nil, admission.Item{}, fault.NotRun(fault.StepAdmit, fault.CodeUnauthenticated, "the organisation is no longer declared")
+	}
+	if len(snapshot.AllowedVersions(organisation.Name, class.Name)) == 0 {
+		return nil, admission.Item{}, fault.NotRun(fault.StepAdmit, fault.CodeNotAllowed,
+			fmt.Sprintf("organisation %q may use no serving version for class %q", organisation.Name, class.Name))
+	}
+	if !r.Ledger.Room() {
+		return nil, admission.Item{}, fault.NotRun(fault.StepAdmit, fault.CodeBillingBufferFull, "no room for another bill")
+	}
+	if problem := r.Limiter.Admit(organisation.Name, organisation.Limits, request.Tokens(), 0, request.Arrived); problem != nil {
+		return nil, admission.Item{}, problem
+	}
+	job := newModelJob(ctx, r, request, class)
+	return job, admission.Item{
+		Organisation: organisation.Name,
+		Class:        class.Name,
+		Priority:     class.Priority,
+		Weight:       organisation.Weight,
+		Tokens:       request.Tokens(),
+		Deadline:     job.deadline,
+		Job:          job,
+		Refuse:       job.refuse,
+	}, nil
+}
+
+// deadlineOf returns the time by which a request of the class must have ended.
+func deadlineOf(class *api.Class, arrived time.Time) time.Time {
+	if class.Target.DeadlineMillis > 0 {
+		return arrived.Add(time.Duration(class.Target.DeadlineMillis) * time.Millisecond)
+	}
+	return arrived.Add(defaultDeadline)
+}
+
+// finished records the end of a request.
+func (r *Router) finished(id, organisation, class string, problem *fault.Error) {
+	log := telemetry.ForRequest(r.Log, telemetry.Request{ID: id, Organisation: organisation, Class: class})
+	if problem == nil {
+		r.Metrics.Finished(organisation, class, api.OutcomeAnswered, "")
+		log.Debug("request answered")
+		return
+	}
+	r.Metrics.Finished(organisation, class, problem.Outcome, problem.Code)
+	log.Info("request failed", "code", problem.Code, "outcome", problem.Outcome, "step", problem.Step, "peer", problem.Peer, "error", problem.Error())
+}
--- /dev/null
+++ b/internal/server/callerhttp/callerhttp.go
@@ -0,0 +1,215 @@
+// Package callerhttp is the caller front end: it decodes requests, hands them to the router and writes what comes back. It
+// decides nothing.
+package callerhttp
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/labstack/echo/v4"
+	"github.com/pkg/errors"
+
+	"github.com/cicadawall/cicadawall/internal/api"
+	"github.com/cicadawall/cicadawall/internal/declaration"
+	"github.com/cicadawall/cicadawall/internal/dispatch"
+	"github.com/cicadawall/cicadawall/internal/fault"
+	"github.com/cicadawall/cicadawall/internal/server/httperr"
+)
+
+// Headers of the caller API.
+const (
+	HeaderClass     = "X-Cicadawall-Class"
+	HeaderSession   = "X-Cicadawall-Session"
+	HeaderVersion   = "X-Cicadawall-Version"
+	HeaderRequestID = "X-Request-Id"
+	HeaderReplayed  = "X-Cicadawall-Replayed"
+	HeaderKey       = "Idempotency-Key"
+)
+
+// classPrefix marks a class name in the model field.
+const classPrefix = "class:"
+
+// Router takes decoded requests.
+type Router interface {
+	// Authenticate returns the organisation to which the caller key belongs.
+	Authenticate(key string) (string, *fault.Error)
+	// Model starts a model request and returns its reply.
+	Model(ctx context.Context, request dispatch.ModelRequest) (*dispatch.Reply, *fault.Error)
+	// Plain starts a plain service call and returns its reply.
+	Plain(ctx context.Context, request dispatch.PlainRequest) (*dispatch.Reply, *fault.Error)
+	// Models returns the versions that the organisation may use.
+	Models(organisation string) ([]declaration.VersionID, *fault.Error)
+	// MaxBodyBytes is the size limit of a request body in bytes.
+	MaxBodyBytes() int64
+}
+
+// Handler serves the caller API.
+type Handler struct {
+	router Router
+}
+
+// Register adds the caller API to an echo instance.
+func Register(e *echo.Echo, router Router) {
+	h := &Handler{router: router}
+	e.POST("/v1/chat/completions", h.chat)
+	e.GET("/v1/models", h.models)
+	e.Any("/services/:service/*", h.plain)
+}
+
+// exchange is what all handlers need of one request.
+type exchange struct {
+	id           string
+	organisation string
+}
+
+func (h *Handler) begin(c echo.Context) (exchange, *fault.Error) {
+	x := exchange{id: uuid.NewString()}
+	c.Response().Header().Set(HeaderRequestID, x.id)
+	key, ok := strings.CutPrefix(c.Request().Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return x, fault.NotRun(fault.StepAuthenticate, fault.CodeUnauthenticated, "send the caller key as Authorization: Bearer <key>")
+	}
+	organisation, problem := h.router.Authenticate(strings.TrimSpace(key))
+	x.organisation = organisation
+	return x, problem
+}
+
+// readBody reads at most the allowed size.
+func (h *Handler) readBody(c echo.Context) ([]byte, *fault.Error) {
+	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, h.router.MaxBodyBytes()))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, fault.NotRun(fault.StepDecode, fault.CodeBodyTooLarge, "the request body is too large").WithCause(err)
+	}
+	if err != nil {
+		return nil, fault.NotRun(fault.StepDecode, fault.CodeInvalidRequest, "the request body could not be read").WithCause(err)
+	}
+	return body, nil
+}
+
+func (h *Handler) chat(c echo.Context) error {
+	x, problem := h.begin(c)
+	if problem != nil {
+		return httperr.Write(c, problem, x.id)
+	}
+	request, problem := h.decodeChat(c, x)
+	if problem != nil {
+		return httperr.Write(c, problem, x.id)
+	}
+	reply, problem := h.router.Model(c.Request().Context(), request)
+	if problem != nil {
+		return httperr.Write(c, problem, x.id)
+	}
+	if request.Body.Stream {
+		return h.stream(c, reply, request)
+	}
+	return h.whole(c, reply, request)
+}
+
+func (h *Handler) decodeChat(c echo.Context, x exchange) (dispatch.ModelRequest, *fault.Error) {
+	raw, problem := h.readBody(c)
+	if problem != nil {
+		return dispatch.ModelRequest{}, problem
+	}
+	var body api.ChatCompletionRequest
+	if err := json.Unmarshal(raw, &body); err != nil {
+		return dispatch.ModelRequest{}, fault.NotRun(fault.StepDecode, fault.CodeInvalidRequest, "the body is not a chat completion request: "+err.Error())
+	}
+	if len(body.Messages) == 0 {
+		return dispatch.ModelRequest{}, fault.NotRun(fault.StepDecode, fault.CodeInvalidRequest, "messages must hold at least one message")
+	}
+	request := dispatch.ModelRequest{
+		ID:             x.id,
+		Organisation:   x.organisation,
+		Class:          c.Request().Header.Get(HeaderClass),
+		Model:          body.Model,
+		Session:        c.Request().Header.Get(HeaderSession),
+		IdempotencyKey: c.Request().Header.Get(HeaderKey),
+		Body:           body,
+		Arrived:        time.Now(),
+	}
+	if class, ok := strings.CutPrefix(body.Model, classPrefix); ok {
+		request.Class, request.Model = class, ""
+	}
+	return request, nil
+}
+
+func (h *Handler) models(c echo.Context) error {
+	x, problem := h.begin(c)
+	if problem != nil {
+		return httperr.Write(c, problem, x.id)
+	}
+	ids, problem := h.router.Models(x.organisation)
+	if problem != nil {
+		return httperr.Write(c, problem, x.id)
+	}
+	list := api.ModelList{Object: "list", Data: []api.ModelInfo{}}
+	seen := map[string]bool{}
+	for _, id := range ids {
+		if seen[id.Model] {
+			continue
+		}
+		seen[id.Model] = true
+		list.Data = append(list.Data, api.ModelInfo{Id: id.Model, Object: "model", OwnedBy: x.organisation})
+	}
+	return c.JSON(http.StatusOK, list)
+}
+
+func (h *Handler) plain(c echo.Context) error {
+	x, problem := h.begin(c)
+	if problem != nil {
+		return httperr.Write(c, problem, x.id)
+	}
+	body, problem := h.readBody(c)
+	if problem != nil {
+		return httperr.Write(c, problem, x.id)
+	}
+	path := "/" + c.Param("*")
+	if query := c.Request().URL.RawQuery; query != "" {
+		path += "?" + query
+	}
+	reply, problem := h.router.Plain(c.Request().Context(), dispatch.PlainRequest{
+		ID:             x.id,
+		Organisation:   x.organisation,
+		Service:        c.Param("service"),
+		Method:         c.Request().Method,
+		Path:           path,
+		ContentType:    c.Request().Header.Get("Content-Type"),
+		IdempotencyKey: c.Request().Header.Get(HeaderKey),
+		Body:           body,
+		Arrived:        time.Now(),
+	})
+	if problem != nil {
+		return httperr.Write(c, problem, x.id)
+	}
+	return h.writePlain(c, reply, x.id)
+}
+
+func (h *Handler) writePlain(c echo.Context, reply *dispatch.Reply, id string) error {
+	for {
+		event, ok, problem := reply.Next(c.Request().Context())
+		if !ok {
+			return httperr.Write(c, orCut(problem), id)
+		}
+		if event.Kind != dispatch.EventEnd || event.Plain == nil {
+			continue
+		}
+		if event.Plain.Replayed {
+			c.Response().Header().Set(HeaderReplayed, "true")
+		}
+		return c.Blob(event.Plain.Status, event.Plain.ContentType, event.Plain.Body)
+	}
+}
+
+// orCut returns the problem, or a cut stream for a reply that ended without its end event.
+func orCut(problem *fault.Error) *fault.Error {
+	if problem != nil {
+		return problem
+	}
+	return fault.Unknown(fault.StepStream, fault.CodeStreamCut, "the reply ended before its end marker")
+}
