Add clients of engines and plain services

Each call is one attempt; its error says whether a byte may have left, whether the server refused the work and whether the response was cut. Streams have a bound on silence; completions and admin calls use separate connections, so that a busy engine can still be cancelled.

--- /dev/null
+++ b/internal/engine/client_test.go
@@ -0,0 +1,287 @@
+package engine
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cicadawall/cicadawall/internal/api"
+	"github.com/cicadawall/cicadawall/internal/engine/stream"
+	standin "github.com/cicadawall/cicadawall/internal/standin/engine"
+)
+
+// startEngine returns an engine stand-in with version small@1 and its address.
+func startEngine(t *testing.T, change func(*api.EngineStandinSettings)) (*standin.Server, *httptest.Server, string) {
+	t.Helper()
+	settings := api.EngineStandinSettings{
+		TokenMillis: 0.1, PrefillMicros: 1,
+		Versions: []api.EngineStandinVersion{{Model: "small", Version: "1", Quality: 0.9, Tokens: 12, Loaded: true}},
+	}
+	if change != nil {
+		change(&settings)
+	}
+	server, err := standin.New(settings)
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener := httptest.NewServer(server)
+	t.Cleanup(func() {
+		server.Stop()
+		listener.Close()
+	})
+	return server, listener, strings.TrimPrefix(listener.URL, "http://")
+}
+
+func newTestClient(t *testing.T) *Client {
+	t.Helper()
+	client := NewClient(Options{})
+	t.Cleanup(client.Close)
+	return client
+}
+
+func request(id string) Request {
+	return Request{CompletionID: id, Body: api.ChatCompletionRequest{
+		Model: "small@1", Logprobs: true, StreamOptions: &api.StreamOptions{IncludeUsage: true},
+		Messages: []api.ChatMessage{{Role: "user", Content: "restock the booth"}},
+	}}
+}
+
+// assemble reads a stream to its end and adds its text.
+func assemble(stream *Stream, assembler *stream.Assembler, text *strings.Builder) error {
+	defer stream.Close()
+	for {
+		chunk, err := stream.Next()
+		if err != nil {
+			return err
+		}
+		ready, _ := assembler.Push(chunk)
+		for _, chunk := range ready {
+			for _, choice := range chunk.Body.Choices {
+				text.WriteString(choice.Delta.Content)
+			}
+		}
+	}
+}
+
+func kindOf(t *testing.T, err error) *Error {
+	t.Helper()
+	var failed *Error
+	if !errors.As(err, &failed) {
+		t.Fatalf("error %v is not an *Error", err)
+	}
+	return failed
+}
+
+// Guards against answers that differ from the true one after repeated, reordered, foreign or missing chunks, and after a
+// resume at another server.
+func TestStreamIsAssembled(t *testing.T) {
+	tests := []struct {
+		name   string
+		faults api.EngineStandinFaults
+		resume bool
+	}{
+		{name: "no fault"},
+		{name: "duplicates", faults: api.EngineStandinFaults{DuplicateNext: 1}},
+		{name: "neighbours changed places", faults: api.EngineStandinFaults{ReorderNext: 1}},
+		{name: "foreign chunks", faults: api.EngineStandinFaults{ForeignNext: 1}},
+		{name: "all at once", faults: api.EngineStandinFaults{DuplicateNext: 1, ReorderNext: 1, ForeignNext: 1}},
+		{name: "cut and resumed", faults: api.EngineStandinFaults{CutNext: 1, CutAfter: 5}, resume: true},
+		{name: "cut in a reordered stream", faults: api.EngineStandinFaults{CutNext: 1, CutAfter: 4, ReorderNext: 1}, resume: true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			server, _, peer := startEngine(t, nil)
+			_, _, otherPeer := startEngine(t, nil)
+			client := newTestClient(t)
+			want, err := client.Whole(t.Context(), peer, request("whole"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			server.SetFaults(test.faults)
+			assembler := stream.New(stream.Options{CompletionID: "c1", RequireUsage: true})
+			var text strings.Builder
+			first, err := client.Stream(t.Context(), peer, request("c1"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			err = assemble(first, assembler, &text)
+			if test.resume {
+				if assembler.Complete() || kindOf(t, err).Kind != KindCut {
+					t.Fatalf("cut stream: complete %t, error %v", assembler.Complete(), err)
+				}
+				again := request("c1")
+				again.ResumeFrom = assembler.ResumeFrom()
+				second, resumeErr := client.Stream(t.Context(), otherPeer, again)
+				if resumeErr != nil {
+					t.Fatal(resumeErr)
+				}
+				err = assemble(second, assembler, &text)
+			}
+			if !errors.Is(err, io.EOF) || !assembler.Complete() {
+				t.Fatalf("complete %t, error %v", assembler.Complete(), err)
+			}
+			if got := text.String(); got != want.Completion.Choices[0].Message.Content {
+				t.Fatalf("answer %q, want %q", got, want.Completion.Choices[0].Message.Content)
+			}
+		})
+	}
+}
+
+// Guards against a wrong statement about whether the engine may have run the completion.
+func TestErrorsSayWhatIsCertain(t *testing.T) {
+	tests := []struct {
+		name   string
+		set    func(*standin.Server)
+		model  string
+		kind   Kind
+		notRun bool
+	}{
+		{name: "draining", set: func(s *standin.Server) { s.SetDraining(true) }, kind: KindRefused, notRun: true},
+		{name: "not loaded", model: "small@2", kind: KindRefused, notRun: true},
+		{name: "failed", set: func(s *standin.Server) { s.SetFaults(api.EngineStandinFaults{FailNext: 1}) }, kind: KindFailed},
+		{name: "closed", set: func(s *standin.Server) { s.SetFaults(api.EngineStandinFaults{CloseNext: 1}) }, kind: KindNoReply},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			server, listener, peer := startEngine(t, nil)
+			if test.set != nil {
+				test.set(server)
+			}
+			attempt := request("c1")
+			if test.model != "" {
+				attempt.Body.Model = test.model
+			}
+			client := newTestClient(t)
+			_, err := client.Stream(t.Context(), peer, attempt)
+			failed := kindOf(t, err)
+			if failed.Kind != test.kind || failed.NotRun() != test.notRun {
+				t.Errorf("error %v, not run %t, want %v, %t", failed, failed.NotRun(), test.kind, test.notRun)
+			}
+			if test.name == "draining" && (failed.Load == nil || !failed.Load.Load.Draining) {
+				t.Errorf("load report %+v does not say draining", failed.Load)
+			}
+			listener.Close()
+			// A new client, because a write to an idle connection that the server has just closed may succeed.
+			_, err = newTestClient(t).Whole(t.Context(), peer, request("c2"))
+			if failed := kindOf(t, err); failed.Kind != KindNotSent || !failed.NotRun() {
+				t.Errorf("closed port: %v", failed)
+			}
+		})
+	}
+}
+
+// Guards against a stalled stream that holds its reader, and against completions that run on after the reader has left.
+func TestStallAndCancel(t *testing.T) {
+	server, listener, peer := startEngine(t, nil)
+	server.SetFaults(api.EngineStandinFaults{StallNext: 1, StallAfter: 2, StallMillis: 60000})
+	client := newTestClient(t)
+	attempt := request("c1")
+	attempt.StallTimeout = 50 * time.Millisecond
+	stalled, err := client.Stream(t.Context(), peer, attempt)
+	if err != nil {
+		t.Fatal(err)
+	}
+	assembler := stream.New(stream.Options{CompletionID: "c1"})
+	err = assemble(stalled, assembler, &strings.Builder{})
+	if !errors.Is(err, ErrStalled) || assembler.ResumeFrom() != 2 {
+		t.Fatalf("error %v after %d chunks, want a stall after 2", err, assembler.ResumeFrom())
+	}
+
+	slow, _, slowPeer := startEngine(t, func(s *api.EngineStandinSettings) { s.TokenMillis = 60000 })
+	running, err := client.Stream(t.Context(), slowPeer, request("c2"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := client.Cancel(t.Context(), slowPeer, "c2"); err != nil {
+		t.Fatal(err)
+	}
+	if err := assemble(running, stream.New(stream.Options{CompletionID: "c2"}), &strings.Builder{}); kindOf(t, err).Kind != KindCut {
+		t.Fatalf("cancelled stream ended with %v", err)
+	}
+	if got := slow.Counts().Cancelled; got != 1 {
+		t.Fatalf("%d completions cancelled, want 1", got)
+	}
+	listener.Close()
+}
+
+// Guards against responses without bound and against data that is no chunk.
+func TestMalformedResponses(t *testing.T) {
+	tests := []struct{ name, body string }{
+		{"endless line", "data: " + strings.Repeat("a", 1<<20)},
+		{"no JSON", "id: 1\ndata: {\n\n"},
+		{"wrong type", "id: 1\ndata: {\"choices\":1}\n\n"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			listener := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set(HeaderLoad, `{"running":-1}`)
+				_, _ = io.WriteString(w, test.body)
+			}))
+			defer listener.Close()
+			stream, err := newTestClient(t).Stream(t.Context(), strings.TrimPrefix(listener.URL, "http://"), request("c1"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer stream.Close()
+			if stream.Load() != nil {
+				t.Errorf("load report %+v from a header with a negative number", stream.Load())
+			}
+			if _, err := stream.Next(); kindOf(t, err).Kind != KindMalformed {
+				t.Errorf("error %v, want malformed", err)
+			}
+		})
+	}
+}
+
+// Guards against commands with an old fencing number that take effect, and against a lost state of an engine that
+// ignores the numbers.
+func TestCommands(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		_, _, peer := startEngine(t, func(s *api.EngineStandinSettings) { s.ChecksFence = checks })
+		client := newTestClient(t)
+		load := api.EngineCommand{Fence: 5, Action: api.ActionLoad, Model: "small", Version: "2"}
+		state, err := client.Command(t.Context(), peer, load)
+		if err != nil || len(state.Versions) != 2 {
+			t.Fatalf("load: %+v, %v", state, err)
+		}
+		unload := api.EngineCommand{Fence: 4, Action: api.ActionUnload, Model: "small", Version: "2"}
+		_, err = client.Command(t.Context(), peer, unload)
+		if checks != (err != nil && kindOf(t, err).Kind == KindOldFence) {
+			t.Errorf("checks %t: old fencing number: %v", checks, err)
+		}
+		report, err := client.Load(t.Context(), peer)
+		if err != nil || (len(report.Load.Versions) == 2) != checks {
+			t.Errorf("checks %t: load report %+v, %v", checks, report, err)
+		}
+	}
+}
+
+// Guards against an exported KV cache that does not help the engine that imports it.
+func TestKVMoves(t *testing.T) {
+	_, _, peer := startEngine(t, nil)
+	_, _, otherPeer := startEngine(t, nil)
+	client := newTestClient(t)
+	long := request("c1")
+	long.Body.Messages[0].Content = strings.Repeat("settle the tour leg ", 50)
+	if _, err := client.Whole(t.Context(), peer, long); err != nil {
+		t.Fatal(err)
+	}
+	cache, err := client.ExportKV(t.Context(), peer, "c1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := client.ImportKV(t.Context(), otherPeer, cache); err != nil {
+		t.Fatal(err)
+	}
+	events, err := client.CacheEvents(t.Context(), otherPeer, 0)
+	if err != nil || len(events.Events) != 1 || len(events.Events[0].Blocks) != 3 {
+		t.Fatalf("cache events after the import: %+v, %v, want 3 blocks stored", events, err)
+	}
+	if _, err := client.ExportKV(t.Context(), peer, "c9"); kindOf(t, err).Kind != KindRefused {
+		t.Fatalf("export of an unknown completion: %v", err)
+	}
+}
--- /dev/null
+++ b/internal/engine/stream.go
@@ -0,0 +1,125 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/cicadawall/cicadawall/internal/engine/sse"
+	"github.com/cicadawall/cicadawall/internal/engine/stream"
+)
+
+const (
+	streamStep = "stream"
+	// endMarker is the data of the last event of a stream.
+	endMarker = "[DONE]"
+)
+
+// ErrStalled is the cause of a stream that was silent for longer than its stall timeout.
+var ErrStalled = errors.New("stream was silent for too long")
+
+// Stream is the response to a streamed completion. It is not safe for concurrent use.
+type Stream struct {
+	peer     string
+	response *http.Response
+	decoder  *sse.Decoder
+	load     *LoadReport
+	ctx      context.Context
+	cancel   context.CancelCauseFunc
+	stall    time.Duration
+	watchdog *time.Timer
+}
+
+func newStream(ctx context.Context, cancel context.CancelCauseFunc, peer string, request Request, response *http.Response) *Stream {
+	return &Stream{
+		peer:     peer,
+		response: response,
+		decoder:  sse.NewDecoder(response.Body),
+		load:     readLoad(response.Header, time.Now()),
+		ctx:      ctx,
+		cancel:   cancel,
+		stall:    request.StallTimeout,
+	}
+}
+
+// Load returns the load report that came with the start of the response, or nil.
+func (s *Stream) Load() *LoadReport { return s.load }
+
+// Next returns the next chunk as it arrived, in no certain order. At the end of the response, with or without an end
+// marker, it returns io.EOF; other errors are an *Error.
+func (s *Stream) Next() (stream.Chunk, error) {
+	s.watch()
+	event, err := s.decoder.Next()
+	s.unwatch()
+	if errors.Is(err, io.EOF) {
+		return stream.Chunk{}, io.EOF
+	}
+	if err != nil {
+		return stream.Chunk{}, s.fail(err)
+	}
+	chunk, err := decodeChunk(event)
+	if err != nil {
+		return stream.Chunk{}, s.fail(err)
+	}
+	return chunk, nil
+}
+
+// watch ends the stream if it stays silent. The request's context is cancelled, which ends the read.
+func (s *Stream) watch() {
+	if s.stall <= 0 {
+		return
+	}
+	if s.watchdog == nil {
+		s.watchdog = time.AfterFunc(s.stall, func() { s.cancel(ErrStalled) })
+		return
+	}
+	s.watchdog.Reset(s.stall)
+}
+
+func (s *Stream) unwatch() {
+	if s.watchdog != nil {
+		s.watchdog.Stop()
+	}
+}
+
+func (s *Stream) fail(err error) *Error {
+	kind := KindCut
+	var syntax *json.SyntaxError
+	var mismatch *json.UnmarshalTypeError
+	if errors.Is(err, sse.ErrTooLarge) || errors.As(err, &syntax) || errors.As(err, &mismatch) {
+		kind = KindMalformed
+	}
+	if errors.Is(context.Cause(s.ctx), ErrStalled) {
+		err = ErrStalled
+	}
+	return &Error{Kind: kind, Step: streamStep, Peer: s.peer, Status: s.response.StatusCode, Load: s.load, Cause: err}
+}
+
+// Close ends the stream. If it has not ended by itself, its connection is closed and the engine cancels the completion.
+func (s *Stream) Close() {
+	s.unwatch()
+	s.cancel(nil)
+	_ = s.response.Body.Close()
+}
+
+// decodeChunk reads one event. An id that is not a number counts as none.
+func decodeChunk(event sse.Event) (stream.Chunk, error) {
+	sequence, err := strconv.ParseInt(event.ID, 10, 64)
+	if err != nil {
+		sequence = 0
+	}
+	if string(event.Data) == endMarker {
+		return stream.Chunk{Sequence: sequence, End: true}, nil
+	}
+	chunk := stream.Chunk{Sequence: sequence}
+	if err := json.Unmarshal(event.Data, &chunk.Body); err != nil {
+		return stream.Chunk{}, err
+	}
+	chunk.CompletionID = chunk.Body.Id
+	return chunk, nil
+}
--- a/internal/standin/engine/completions.go
+++ b/internal/standin/engine/completions.go
@@ -42,7 +42,8 @@
 	}
 	plan := s.state.plan()
 	if plan.fail {
-		return s.refuse(c, http.StatusInternalServerError, "failed", "failure on command")
+		detail := api.ErrorDetail{Message: "failure on command", Type: "server_error", Code: "failed", Outcome: api.OutcomeUnknown}
+		return c.JSON(http.StatusInternalServerError, api.ErrorBody{Error: detail})
 	}
 	if plan.close {
 		common.CloseConnection()
--- a/internal/standin/order/server.go
+++ b/internal/standin/order/server.go
@@ -17,6 +17,8 @@
 const (
 	keyHeader   = "Idempotency-Key"
 	fenceHeader = "X-Cicadawall-Fence"
+	// refusedHeader is set on a response that refuses an old fencing number.
+	refusedHeader = "X-Cicadawall-Fence-Refused"
 )
 
 // Server is the stand-in.
@@ -65,6 +67,7 @@
 	fence, _ := strconv.ParseInt(c.Request().Header.Get(fenceHeader), 10, 64)
 	result, ran := s.table.run(key, fence, func(count int) result { return confirmation(key, count) })
 	if !ran {
+		c.Response().Header().Set(refusedHeader, "true")
 		return c.String(http.StatusConflict, "old fencing number; not run")
 	}
 	if verdict == verdictLoseReply {
