--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -82,11 +82,11 @@
 		advance(8 * time.Second)
 		a.fault = memory.FaultNone
 		_, _ = a.Acquire(context.Background()) // finds its own earlier write
-		if grant, refused := a.Fence(time.Now()); refused != nil || grant.Until.Sub(time.Now()) > 2*time.Second {
-			t.Fatalf("the right was extended by a write of 8 s ago: %v, %v", grant.Until.Sub(time.Now()), refused)
+		if grant, refused := a.Fence(time.Now()); refused != nil || time.Until(grant.Until) > 2*time.Second {
+			t.Fatalf("the right was extended by a write of 8 s ago: %v, %v", time.Until(grant.Until), refused)
 		}
 		a.acquire(t, true)
-		if grant, refused := a.Fence(time.Now()); refused != nil || grant.Until.Sub(time.Now()) < 9*time.Second {
+		if grant, refused := a.Fence(time.Now()); refused != nil || time.Until(grant.Until) < 9*time.Second {
 			t.Fatal("the next renewal did not extend the right")
 		}
 	})
@@ -98,8 +98,8 @@
 		a := newInstance(memory.NewTable(), "a")
 		a.after = 9 * time.Second
 		a.acquire(t, true)
-		if grant, refused := a.Fence(time.Now()); refused != nil || grant.Until.Sub(time.Now()) > time.Second {
-			t.Fatalf("the right lasts for %v more after a reply that took 9 s", grant.Until.Sub(time.Now()))
+		if grant, refused := a.Fence(time.Now()); refused != nil || time.Until(grant.Until) > time.Second {
+			t.Fatalf("the right lasts for %v more after a reply that took 9 s", time.Until(grant.Until))
 		}
 		b := newInstance(memory.NewTable(), "b")
 		b.after = 11 * time.Second
