--- a/internal/order/execution.go
+++ b/internal/order/execution.go
@@ -18,6 +18,8 @@
 	req     Request
 	key     string
 	digest  string
+	// sentTo is the backend server that may have run the order for this execution; empty if certainly none has.
+	sentTo string
 }
 
 // grant is a claim that this execution holds. Only its holder sends, at most once.
@@ -28,7 +30,17 @@
 	sendBefore time.Time
 }
 
+// run executes the order. Once a send of this execution may have run, no later failure is reported as not_run, also when
+// the failing step itself sent nothing.
 func (e *execution) run(ctx context.Context) (Response, *fault.Error) {
+	resp, refused := e.claim(ctx)
+	if refused != nil && refused.Outcome == api.OutcomeNotRun && e.sentTo != "" {
+		return Response{}, e.unknown("the backend server did not answer and the order could not be resolved", e.sentTo).WithCause(refused)
+	}
+	return resp, refused
+}
+
+func (e *execution) claim(ctx context.Context) (Response, *fault.Error) {
 	server, refused := e.service.config.Servers.Pick(e.req.Organisation, e.req.Service)
 	if refused != nil {
 		return Response{}, refused
@@ -92,6 +104,9 @@
 		Body:         e.req.Body,
 		SendBefore:   g.sendBefore,
 	})
+	if result.Sent && !result.StaleFence {
+		e.sentTo = g.server.ID
+	}
 	switch {
 	case !result.Sent:
 		return Response{}, e.abandon(ctx, g, result)
--- a/internal/order/fake_test.go
+++ b/internal/order/fake_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -102,10 +103,9 @@
 		}
 		return n.store(op)
 	})
-	ids := 0
+	var ids atomic.Int64
 	n.Service = New(Config{Table: n, Dispatcher: n, Servers: n, Incarnation: name, NewID: func() string {
-		ids++
-		return fmt.Sprintf("%s-%d", name, ids)
+		return fmt.Sprintf("%s-%d", name, ids.Add(1))
 	}})
 	return n
 }
@@ -146,6 +146,9 @@
 	if !time.Now().Before(send.SendBefore) {
 		return SendResult{Err: errors.New("too late to send")}
 	}
+	if ctx.Err() != nil {
+		return SendResult{Err: ctx.Err()}
+	}
 	server := n.servers[send.Server.ID]
 	switch n.linkFault() {
 	case linkRefused:
--- a/internal/order/order_test.go
+++ b/internal/order/order_test.go
@@ -178,6 +178,23 @@
 	}
 }
 
+// Guards against a false not_run after an unanswered send, when a stale read shows the abandoned claim before it. Found by
+// TestHistoriesAreLinearizable with seed 835.
+func TestNotRunIsNeverSaidAfterSend(t *testing.T) {
+	each(t, true, func(t *testing.T, p pair) {
+		const none, unavailable = memory.FaultNone, memory.FaultUnavailable
+		p.a.link = sequence(linkRefused, linkReplyLost)
+		_, refused := p.a.call("1", "shirts", time.Second)
+		wantFault(t, refused, fault.CodeBackendServerFailed)
+		// Insert, read and claim; after the send a failed raise, the stale read and a failed claim.
+		p.a.store = storeFaults(none, none, none, unavailable, memory.FaultStale, unavailable)
+		_, refused = p.a.call("2", "shirts", 20*time.Second)
+		wantFault(t, refused, fault.CodeOrderUnknown)
+		wantRun(t, p.b, "3", true)
+		wantExecutions(t, p.server, 1)
+	})
+}
+
 // Guards against a holder that sends under its old fence after a repeat has taken the order over.
 func TestFenceStopsLateHolder(t *testing.T) {
 	each(t, true, func(t *testing.T, p pair) {
