--- a/internal/api/peer.gen.go
+++ b/internal/api/peer.gen.go
@@ -73,6 +73,13 @@
 	Version      string `json:"version,omitempty" yaml:"version,omitempty"`
 }
 
+// ClassSummary Pooled ratings of a class and the shares of its versions in roll-out.
+type ClassSummary struct {
+	Class   string          `json:"class" yaml:"class"`
+	Ratings []RatingSummary `json:"ratings" yaml:"ratings"`
+	Shares  []VersionShare  `json:"shares" yaml:"shares"`
+}
+
 // Demand defines model for Demand.
 type Demand struct {
 	CostPerDay        float64 `json:"costPerDay" yaml:"costPerDay"`
@@ -108,33 +115,39 @@
 // EvidenceAck defines model for EvidenceAck.
 type EvidenceAck struct {
 	// Held Versions that the owner holds as bad.
-	Held []HeldVersion `json:"held" yaml:"held"`
+	Held    []HeldVersion `json:"held" yaml:"held"`
+	Summary *ClassSummary `json:"summary,omitempty" yaml:"summary,omitempty"`
 
-	// Suspected Versions of which every answer should be rated.
-	Suspected []HeldVersion `json:"suspected,omitempty" yaml:"suspected,omitempty"`
+	// Suspected Versions (model@version) of which every answer should be rated.
+	Suspected []string `json:"suspected" yaml:"suspected"`
 }
 
-// EvidenceReport defines model for EvidenceReport.
+// EvidenceReport Rated answers of one class for the instance that owns the class.
 type EvidenceReport struct {
+	Class       string           `json:"class" yaml:"class"`
 	Incarnation string           `json:"incarnation" yaml:"incarnation"`
 	Samples     []EvidenceSample `json:"samples" yaml:"samples"`
-	Sequence    int64            `json:"sequence" yaml:"sequence"`
+
+	// Sequence Counts the reports of the sender; a report with a sequence already taken is answered but not counted again.
+	Sequence int64 `json:"sequence" yaml:"sequence"`
+
+	// SummaryAgeMillis Age of the last summary that the sender received, in milliseconds; -1 asks for one.
+	SummaryAgeMillis int64 `json:"summaryAgeMillis" yaml:"summaryAgeMillis"`
 }
 
 // EvidenceSample defines model for EvidenceSample.
 type EvidenceSample struct {
 	// After First version of the chain (model@version) if the answer was a second step.
 	After string `json:"after,omitempty" yaml:"after,omitempty"`
-	Class string `json:"class" yaml:"class"`
 
 	// Confidence Confidence of the first answer of the chain between 0 and 1.
-	Confidence float64 `json:"confidence,omitempty" yaml:"confidence,omitempty"`
+	Confidence float64 `json:"confidence" yaml:"confidence"`
 
 	// Delivered Whether the answer reached the caller; only these count in the test for bad versions.
-	Delivered bool `json:"delivered,omitempty" yaml:"delivered,omitempty"`
+	Delivered bool `json:"delivered" yaml:"delivered"`
 
 	// Floor Mean rating that the choice of the chain counted on for this step.
-	Floor   float64 `json:"floor,omitempty" yaml:"floor,omitempty"`
+	Floor   float64 `json:"floor" yaml:"floor"`
 	Model   string  `json:"model" yaml:"model"`
 	Score   float64 `json:"score" yaml:"score"`
 	Version string  `json:"version" yaml:"version"`
@@ -191,6 +204,24 @@
 // OrderClaimState defines model for OrderClaim.State.
 type OrderClaimState string
 
+// RatingBucket defines model for RatingBucket.
+type RatingBucket struct {
+	Count   float64 `json:"count" yaml:"count"`
+	Squares float64 `json:"squares" yaml:"squares"`
+	Sum     float64 `json:"sum" yaml:"sum"`
+}
+
+// RatingSummary defines model for RatingSummary.
+type RatingSummary struct {
+	// After First version of the chain (model@version) if the answers were second steps.
+	After string `json:"after,omitempty" yaml:"after,omitempty"`
+
+	// Buckets Ratings by confidence, in equal ranges from 0 to 1.
+	Buckets []RatingBucket `json:"buckets" yaml:"buckets"`
+	Model   string         `json:"model" yaml:"model"`
+	Version string         `json:"version" yaml:"version"`
+}
+
 // Registration Value of a registration row.
 type Registration struct {
 	AvailabilityZone string `json:"availabilityZone" yaml:"availabilityZone"`
@@ -235,3 +266,12 @@
 type SessionPin struct {
 	Versions map[string]string `json:"versions" yaml:"versions"`
 }
+
+// VersionShare defines model for VersionShare.
+type VersionShare struct {
+	Model string `json:"model" yaml:"model"`
+
+	// Step Steps by which the first share was widened.
+	Step    int    `json:"step" yaml:"step"`
+	Version string `json:"version" yaml:"version"`
+}
--- a/internal/declaration/snapshot.go
+++ b/internal/declaration/snapshot.go
@@ -17,6 +17,15 @@
 // String returns model@version.
 func (id VersionID) String() string { return id.Model + "@" + id.Version }
 
+// ParseVersionID reads model@version. Text of another form gives the zero value.
+func ParseVersionID(text string) VersionID {
+	model, version, ok := strings.Cut(text, "@")
+	if !ok {
+		return VersionID{}
+	}
+	return VersionID{Model: model, Version: version}
+}
+
 // Snapshot is an immutable compiled declaration at one revision. It is safe for concurrent use.
 type Snapshot struct {
 	Revision int64
--- a/internal/dispatch/answer.go
+++ b/internal/dispatch/answer.go
@@ -6,10 +6,10 @@
 	"time"
 
 	"github.com/cicadawall/cicadawall/internal/api"
-	"github.com/cicadawall/cicadawall/internal/cascade"
 	"github.com/cicadawall/cicadawall/internal/declaration"
 	"github.com/cicadawall/cicadawall/internal/engine/stream"
 	"github.com/cicadawall/cicadawall/internal/fault"
+	"github.com/cicadawall/cicadawall/internal/quality"
 )
 
 // Kinds of bill lines.
@@ -90,12 +90,12 @@
 }
 
 // finish makes the bill durable and then passes the end marker on.
-func (j *modelJob) finish(ctx context.Context, chain cascade.Chain, a *answer) *fault.Error {
+func (j *modelJob) finish(ctx context.Context, plan Plan, a *answer) *fault.Error {
 	j.lines = append(j.lines, a.line(lineAnswer, j.router.Config.Snapshot()))
 	if problem := j.commitBill(ctx, api.OutcomeAnswered); problem != nil {
 		return problem
 	}
-	j.sample(chain, a)
+	j.sample(plan, a)
 	if err := j.start(ctx, a.version); err != nil {
 		return fault.Unknown(fault.StepStream, fault.CodeCallerGone, "the caller left").WithCause(err)
 	}
@@ -145,22 +145,28 @@
 	}
 }
 
-// sample offers the answer to the rating service.
-func (j *modelJob) sample(chain cascade.Chain, a *answer) {
-	rated := RatedAnswer{
-		ID:         j.request.ID,
+// sample offers an answer to the rating service. The answers of an explored chain are all rated.
+func (j *modelJob) sample(plan Plan, a *answer) {
+	rated := quality.Answer{
+		ID:         j.request.ID + "/" + a.version.String(),
 		Class:      j.class.Name,
 		Version:    a.version,
-		Answer:     a.text.String(),
+		Text:       a.text.String(),
 		Confidence: a.confidence,
+		Floor:      plan.FirstFloor,
+		Delivered:  !a.escalate,
 		Share:      defaultRatingShare,
 	}
 	if a.second {
-		rated.After = chain.First
+		rated.After = plan.Chain.First
+		rated.Floor = plan.SecondFloor
 	}
 	if j.class.RatingShare != nil {
 		rated.Share = *j.class.RatingShare
 	}
+	if plan.Explored {
+		rated.Share = 1
+	}
 	if n := len(j.request.Body.Messages); n > 0 {
 		rated.Prompt = j.request.Body.Messages[n-1].Content
 	}
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/cicadawall/cicadawall/internal/api"
-	"github.com/cicadawall/cicadawall/internal/cascade"
 	"github.com/cicadawall/cicadawall/internal/declaration"
 	"github.com/cicadawall/cicadawall/internal/fault"
 	"github.com/cicadawall/cicadawall/internal/session"
@@ -82,7 +81,7 @@
 	if problem != nil {
 		return problem
 	}
-	decision, problem := j.router.Planner.Plan(PlanInput{
+	plan, problem := j.router.Planner.Plan(PlanInput{
 		Snapshot:   snapshot,
 		Class:      j.class,
 		Model:      j.request.Model,
@@ -94,12 +93,12 @@
 	if problem != nil {
 		return problem
 	}
-	answer, problem := j.runChain(ctx, decision.Chain)
+	answer, problem := j.runChain(ctx, plan)
 	if problem != nil {
 		j.billCut()
 		return problem
 	}
-	return j.finish(ctx, decision.Chain, answer)
+	return j.finish(ctx, plan, answer)
 }
 
 // resolveSession returns the versions that the request may use, one for each model. A request without a session starts one
@@ -131,11 +130,12 @@
 }
 
 // runChain runs the steps of the chain until one answer is accepted.
-func (j *modelJob) runChain(ctx context.Context, chain cascade.Chain) (*answer, *fault.Error) {
+func (j *modelJob) runChain(ctx context.Context, plan Plan) (*answer, *fault.Error) {
+	chain := plan.Chain
 	if !chain.TwoSteps() {
 		return j.runStep(ctx, chain.First, newGate(nil, 0))
 	}
-	first, problem := j.runStep(ctx, chain.First, newGate(&chain, j.confidenceWindow()))
+	first, problem := j.runStep(ctx, chain.First, newGate(&chain, j.confidenceWindow(plan)))
 	if problem == nil && !first.escalate {
 		return first, nil
 	}
@@ -144,6 +144,9 @@
 	}
 	if first != nil {
 		j.lines = append(j.lines, first.line(lineCascade, j.router.Config.Snapshot()))
+		if plan.Explored {
+			j.sample(plan, first)
+		}
 	}
 	second, problem := j.runStep(ctx, chain.Second, newGate(nil, 0))
 	if problem != nil {
@@ -160,8 +163,9 @@
 // caller waits for a few tokens and not for the whole first answer.
 const streamConfidenceTokens = 24
 
-func (j *modelJob) confidenceWindow() int {
-	if j.request.Body.Stream {
+// confidenceWindow returns the tokens to wait for. An explored first answer is rated and must therefore be whole.
+func (j *modelJob) confidenceWindow(plan Plan) int {
+	if j.request.Body.Stream && !plan.Explored {
 		return streamConfidenceTokens
 	}
 	return wholeAnswer
--- a/internal/dispatch/router.go
+++ b/internal/dispatch/router.go
@@ -13,6 +13,7 @@
 	"github.com/cicadawall/cicadawall/internal/declaration"
 	"github.com/cicadawall/cicadawall/internal/fault"
 	"github.com/cicadawall/cicadawall/internal/order"
+	"github.com/cicadawall/cicadawall/internal/quality"
 	"github.com/cicadawall/cicadawall/internal/routing"
 	"github.com/cicadawall/cicadawall/internal/session"
 	"github.com/cicadawall/cicadawall/internal/table"
@@ -43,20 +44,7 @@
 
 // Sampler passes answers on to be rated.
 type Sampler interface {
-	Sample(answer RatedAnswer)
-}
-
-// RatedAnswer is one whole answer that may be rated.
-type RatedAnswer struct {
-	ID      string
-	Class   string
-	Version declaration.VersionID
-	// After is the first version of the chain if the answer was a second step.
-	After      declaration.VersionID
-	Prompt     string
-	Answer     string
-	Confidence float64
-	Share      float64
+	Sample(answer quality.Answer)
 }
 
 // Parts are the tables, protocols and clients that a Router uses.
--- a/internal/fleet/list.go
+++ b/internal/fleet/list.go
@@ -31,8 +31,8 @@
 
 // LoadReader reads the load report of an engine.
 type LoadReader interface {
-	// Load returns the report; its AgeMillis is the age at the time of the reply.
-	Load(ctx context.Context, server table.Server) (api.EngineLoad, error)
+	// Load returns the report and the time at which it held, by this instance's clock.
+	Load(ctx context.Context, server table.Server) (api.EngineLoad, time.Time, error)
 }
 
 // Options are the parts that a fleet works with.
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -33,9 +33,9 @@
 }
 
 func (f *Fleet) readLoad(ctx context.Context, server table.Server) {
-	load, err := f.opts.Loads.Load(ctx, server)
-	now := time.Now()
+	load, at, err := f.opts.Loads.Load(ctx, server)
 	if err != nil {
+		now := time.Now()
 		f.opts.Servers.Update(server.Entry.Id, func(row *table.Server) {
 			row.ConsecutiveFailures++
 			row.LastFailure = now
@@ -43,5 +43,5 @@
 		f.opts.Log.Debug("load report failed", "backend_server", server.Entry.Id, "error", err.Error())
 		return
 	}
-	f.opts.Servers.ObserveLoad(server.Entry.Id, load, now.Add(-time.Duration(load.AgeMillis)*time.Millisecond))
+	f.opts.Servers.ObserveLoad(server.Entry.Id, load, at)
 }
--- a/internal/quality/table.go
+++ b/internal/quality/table.go
@@ -4,6 +4,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cicadawall/cicadawall/internal/cascade"
@@ -56,6 +57,8 @@
 	published *cascade.Evidence
 	evidence  *rollout.Evidence
 	versions  map[declaration.VersionID]*versionRow
+	// suspected holds, by class, the versions of which the class's owner wants every answer rated.
+	suspected map[string][]declaration.VersionID
 }
 
 // NewTable returns an empty table.
@@ -66,6 +69,7 @@
 		published: cascade.NewEvidence(),
 		evidence:  rollout.NewEvidence(),
 		versions:  map[declaration.VersionID]*versionRow{},
+		suspected: map[string][]declaration.VersionID{},
 	}
 }
 
@@ -107,11 +111,62 @@
 	return verdicts
 }
 
-// Verdict returns the present verdict on a version.
-func (t *Table) Verdict(id declaration.VersionID) rollout.Verdict {
+// Suspicions returns the versions (model@version) of which every answer should be rated, by the evidence here.
+func (t *Table) Suspicions() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	suspicions := []string{}
+	for id := range t.versions {
+		if t.evidence.Verdict(id).Kind == rollout.Suspect {
+			suspicions = append(suspicions, id.String())
+		}
+	}
+	return suspicions
+}
+
+// Suspect records what the owner of a class wants rated.
+func (t *Table) Suspect(class string, versions []string) {
+	var ids []declaration.VersionID
+	for _, text := range versions {
+		ids = append(ids, declaration.ParseVersionID(text))
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.suspected[class] = ids
+}
+
+// Suspicion returns whether answers of the version are suspected in the class.
+func (t *Table) Suspicion(class string, id declaration.VersionID) rollout.Kind {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	if slices.Contains(t.suspected[class], id) {
+		return rollout.Suspect
+	}
+	return rollout.Keep
+}
+
+// Summary is what the owner of a class tells the other instances.
+type Summary struct {
+	Ratings []cascade.Summary
+	Steps   []rollout.Step
+}
+
+// Summary returns the pooled evidence of a class.
+func (t *Table) Summary(class string) Summary {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
-	return t.evidence.Verdict(id)
+	return Summary{Ratings: t.ratings.Class(class), Steps: t.evidence.Steps(class)}
+}
+
+// Replace takes over the owner's summary of a class.
+func (t *Table) Replace(class string, summary Summary) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.ratings.Replace(class, summary.Ratings)
+	t.published = t.ratings.Clone()
+	for _, step := range summary.Steps {
+		t.evidence.Advance(class, step)
+	}
 }
 
 // Share returns the share of a class's requests that a version in roll-out receives.
