--- a/internal/dispatch/answer.go
+++ b/internal/dispatch/answer.go
@@ -95,6 +95,7 @@
 	if problem := j.commitBill(ctx, api.OutcomeAnswered); problem != nil {
 		return problem
 	}
+	j.observePace(a)
 	j.sample(plan, a)
 	if err := j.start(ctx, a.version); err != nil {
 		return fault.Unknown(fault.StepStream, fault.CodeCallerGone, "the caller left").WithCause(err)
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -134,6 +134,7 @@
 		return retry.Attempt{}, server.Entry.Id, errors.Errorf("backend server %s is leaving", server.Entry.Id)
 	}
 	result, err := s.exchange(ctx, server)
+	j.trace = append(j.trace, s.explain(server.Entry.Id, err))
 	failed := err != nil && retry.Failed(result) && ctx.Err() == nil
 	now := time.Now()
 	j.router.Servers.End(server.Entry.Id, failed, now)
@@ -142,6 +143,13 @@
 	return result, server.Entry.Id, err
 }
 
+func (s *step) explain(server string, err error) api.ExplainStep {
+	if err != nil {
+		return explained(fault.StepDispatch, server, verdictFailed, s.version.String()+": "+err.Error())
+	}
+	return explained(fault.StepDispatch, server, verdictChosen, s.version.String()+" answered")
+}
+
 // exchange sends the attempt and takes its chunks.
 func (s *step) exchange(ctx context.Context, server table.Server) (retry.Attempt, error) {
 	j := s.job
@@ -239,6 +247,8 @@
 		j.recorder.BetweenTokens(now.Sub(j.lastText))
 	} else {
 		j.recorder.FirstToken(now.Sub(j.request.Arrived))
+		j.router.Classes.FirstToken(j.class.Name, now.Sub(j.request.Arrived))
+		j.firstText = now
 	}
 	j.lastText = now
 	if err := j.start(ctx, id); err != nil {
@@ -256,6 +266,16 @@
 	return errors.Wrap(j.reply.Send(ctx, Event{Kind: EventStart, Version: id, Session: j.handle}), "hand over the start of the reply")
 }
 
+// observePace records the time between the tokens of an answer that ended.
+func (j *modelJob) observePace(a *answer) {
+	if a.chunks < 2 {
+		return
+	}
+	took := j.lastText.Sub(j.firstText)
+	j.router.Classes.BetweenTokens(j.class.Name, took/time.Duration(a.chunks-1))
+	j.router.Planner.ObserveTokens(a.version, a.chunks-1, took)
+}
+
 func (j *modelJob) observeFirstChunk(server string, id declaration.VersionID, took time.Duration) {
 	j.router.Servers.ObserveFirstToken(server, took)
 	j.router.Planner.ObserveFirstToken(id, took)
--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -21,6 +21,7 @@
 	"github.com/cicadawall/cicadawall/internal/quality"
 	"github.com/cicadawall/cicadawall/internal/routing"
 	"github.com/cicadawall/cicadawall/internal/session"
+	"github.com/cicadawall/cicadawall/internal/status"
 	"github.com/cicadawall/cicadawall/internal/table"
 	"github.com/cicadawall/cicadawall/internal/telemetry"
 	"github.com/cicadawall/cicadawall/internal/worker"
@@ -170,7 +171,9 @@
 
 type noLimits struct{}
 
-func (noLimits) Admit(string, api.OrganisationLimits, int, float64, time.Time) *fault.Error { return nil }
+func (noLimits) Admit(string, api.OrganisationLimits, int, float64, time.Time) *fault.Error {
+	return nil
+}
 
 type noOrders struct{}
 
@@ -237,7 +240,7 @@
 	b.router = NewRouter(Parts{
 		Config: config, Servers: servers, Prefixes: routing.NewPrefixIndex(100), Queue: queue, Planner: NewPlanner(b.table),
 		Sessions: pins, Ledger: b.ledger, Limiter: noLimits{}, Engine: b.engine, Orders: noOrders{}, Retries: NewRetries(),
-		Sampler: b.sampler, Metrics: telemetry.NewMetrics(), Log: slog.New(slog.DiscardHandler),
+		Sampler: b.sampler, Metrics: telemetry.NewMetrics(), Classes: status.NewClasses(), Traces: NewTraces(), Log: slog.New(slog.DiscardHandler),
 	})
 	b.pool = worker.NewPool(2, queue)
 	return b
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -30,9 +30,11 @@
 
 	handle  string
 	started bool
-	// lastText is the time of the last text that reached the caller's reply; zero before the first.
-	lastText time.Time
-	lines    []api.BillLine
+	// firstText and lastText are the times of the first and the last text that reached the reply; zero before the first.
+	firstText time.Time
+	lastText  time.Time
+	lines     []api.BillLine
+	trace     []api.ExplainStep
 }
 
 func newModelJob(ctx context.Context, router *Router, request ModelRequest, class *api.Class) *modelJob {
@@ -55,7 +57,15 @@
 
 func (j *modelJob) end(problem *fault.Error) {
 	j.reply.Finish(problem)
-	j.router.finished(j.request.ID, j.request.Organisation, j.class.Name, problem)
+	if problem != nil {
+		j.trace = append(j.trace, explained(problem.Step, problem.Peer, verdictFailed, problem.Error()))
+	}
+	j.router.Traces.Put(j.request.ID, j.trace)
+	cost := 0.0
+	for _, line := range j.lines {
+		cost += line.Cost
+	}
+	j.router.finished(j.request.ID, j.request.Organisation, j.class.Name, cost, problem)
 }
 
 // Run implements worker.Job.
@@ -93,6 +103,7 @@
 	if problem != nil {
 		return problem
 	}
+	j.trace = append(j.trace, explainPlan(plan))
 	answer, problem := j.runChain(ctx, plan)
 	if problem != nil {
 		j.billCut()
--- a/internal/dispatch/plain.go
+++ b/internal/dispatch/plain.go
@@ -42,7 +42,7 @@
 		problem = r.Queue.Submit(item, request.Arrived)
 	}
 	if problem != nil {
-		r.finished(request.ID, request.Organisation, plainClass, problem)
+		r.finished(request.ID, request.Organisation, plainClass, 0, problem)
 		return nil, problem
 	}
 	return job.reply, nil
@@ -100,7 +100,7 @@
 
 func (j *plainJob) end(problem *fault.Error) {
 	j.reply.Finish(problem)
-	j.router.finished(j.request.ID, j.request.Organisation, plainClass, problem)
+	j.router.finished(j.request.ID, j.request.Organisation, plainClass, 0, problem)
 }
 
 // Run implements worker.Job.
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -141,3 +141,8 @@
 func (p *Planner) ObserveFirstToken(id declaration.VersionID, took time.Duration) {
 	p.versions.ObserveFirstToken(id, took)
 }
+
+// ObserveTokens records the time that a version took for the tokens after the first.
+func (p *Planner) ObserveTokens(id declaration.VersionID, tokens int, took time.Duration) {
+	p.versions.ObserveTokens(id, tokens, took)
+}
--- a/internal/dispatch/router.go
+++ b/internal/dispatch/router.go
@@ -16,6 +16,7 @@
 	"github.com/cicadawall/cicadawall/internal/quality"
 	"github.com/cicadawall/cicadawall/internal/routing"
 	"github.com/cicadawall/cicadawall/internal/session"
+	"github.com/cicadawall/cicadawall/internal/status"
 	"github.com/cicadawall/cicadawall/internal/table"
 	"github.com/cicadawall/cicadawall/internal/telemetry"
 )
@@ -65,6 +66,8 @@
 	Retries          *Retries
 	Sampler          Sampler
 	Metrics          *telemetry.Metrics
+	Classes          *status.Classes
+	Traces           *Traces
 	Log              *slog.Logger
 	MaxBodyBytes     int64
 }
@@ -120,7 +123,7 @@
 		problem = r.Queue.Submit(item, request.Arrived)
 	}
 	if problem != nil {
-		r.finished(request.ID, request.Organisation, request.Class, problem)
+		r.finished(request.ID, request.Organisation, request.Class, 0, problem)
 		return nil, problem
 	}
 	return job.reply, nil
@@ -171,14 +174,16 @@
 	return arrived.Add(defaultDeadline)
 }
 
-// finished records the end of a request.
-func (r *Router) finished(id, organisation, class string, problem *fault.Error) {
+// finished records the end of a request and what it cost.
+func (r *Router) finished(id, organisation, class string, cost float64, problem *fault.Error) {
 	log := telemetry.ForRequest(r.Log, telemetry.Request{ID: id, Organisation: organisation, Class: class})
 	if problem == nil {
 		r.Metrics.Finished(organisation, class, api.OutcomeAnswered, "")
+		r.Classes.Finished(class, api.OutcomeAnswered, cost)
 		log.Debug("request answered")
 		return
 	}
 	r.Metrics.Finished(organisation, class, problem.Outcome, problem.Code)
+	r.Classes.Finished(class, problem.Outcome, 0)
 	log.Info("request failed", "code", problem.Code, "outcome", problem.Outcome, "step", problem.Step, "peer", problem.Peer, "error", problem.Error())
 }
--- a/internal/quality/table.go
+++ b/internal/quality/table.go
@@ -211,6 +211,26 @@
 	t.rowLocked(id).perToken.observe(took / time.Duration(tokens))
 }
 
+// Rated returns the number of ratings of a version's answers in a class and their mean.
+func (t *Table) Rated(class string, id declaration.VersionID) (count int64, mean float64) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	var ratings, sum float64
+	for _, summary := range t.ratings.Class(class) {
+		if summary.Version != id {
+			continue
+		}
+		for _, bucket := range summary.Buckets {
+			ratings += bucket.Count
+			sum += bucket.Sum
+		}
+	}
+	if ratings == 0 {
+		return 0, 0
+	}
+	return int64(ratings), sum / ratings
+}
+
 // Latency returns the predicted times of a version.
 func (t *Table) Latency(id declaration.VersionID) Latency {
 	t.mu.RLock()
