Write the copies of a silent owner without waiting for the list

The holder now writes them 10 s after the owner's last message. A wrong guess costs one row of duplicates, which the roll-up removes.

--- a/internal/billing/billing_test.go
+++ b/internal/billing/billing_test.go
@@ -260,6 +260,28 @@
 	})
 }
 
+// Guards against bills that wait at one instance for the list to drop their owner.
+func TestSilentOwnerIsTakenOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet()
+		l := NewLedger(f.config("a"))
+		heal := f.outage()
+		commit(l, "1")
+		advance(250 * time.Millisecond)
+		_ = l.Copy(context.Background())
+		heal()
+		advance(9 * time.Second)
+		if err := f.copies["b"].Takeover(context.Background()); err != nil || f.copies["b"].Held() != 1 {
+			t.Fatalf("taken over after 9 s: %v", err)
+		}
+		advance(2 * time.Second)
+		if err := f.copies["b"].Takeover(context.Background()); err != nil || f.copies["b"].Held() != 0 {
+			t.Fatalf("not taken over after 11 s: %v", err)
+		}
+		wantBills(t, f.statement(t), "1")
+	})
+}
+
 // Guards against a planned stop during an outage that leaves bills with one peer only.
 func TestDrainCopiesToTwoPeers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/billing/holder.go
+++ b/internal/billing/holder.go
@@ -16,6 +16,9 @@
 const (
 	// takeoverInterval is the wait between checks whether an owner is gone.
 	takeoverInterval = 2 * time.Second
+	// silentAfter is the time without a message after which an owner's copies are written although the list still has it.
+	// Waiting for the list would leave the bills at one instance for 30 s more; a wrong guess costs a row of duplicates.
+	silentAfter = 10 * time.Second
 	// forgetAfter is the time after which an owner without copies is forgotten. A batch that arrives again later would be
 	// written twice; the roll-up removes it.
 	forgetAfter = 10 * time.Minute
@@ -103,11 +106,11 @@
 	return worker.Duty{Name: "bill-takeover", Interval: worker.Every(takeoverInterval), Timeout: 10 * time.Second, Run: c.Takeover}
 }
 
-// Takeover writes the copies of owners that are gone, one row after the other. It returns the first error; a row that
+// Takeover writes the copies of owners that are gone or silent, one row after the other. It returns the first error; a row that
 // failed is written again with the same content at the next call.
 func (c *Copies) Takeover(ctx context.Context) error {
 	for _, incarnation := range c.incarnations() {
-		if !c.config.Peers.Gone(incarnation) {
+		if !c.config.Peers.Gone(incarnation) && !c.silent(incarnation) {
 			continue
 		}
 		for {
@@ -124,6 +127,12 @@
 	return nil
 }
 
+func (c *Copies) silent(incarnation string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.config.Now().Sub(c.owners[incarnation].touched) > silentAfter
+}
+
 // incarnations returns the owners with copies, and forgets those that have had none for forgetAfter.
 func (c *Copies) incarnations() []string {
 	c.mu.Lock()
