--- a/internal/dispatch/explain.go
+++ b/internal/dispatch/explain.go
@@ -98,6 +98,26 @@
 // defaultExplainTokens is the size of a hypothetical request.
 const defaultExplainTokens = 512
 
+// ClassChain returns the chain that a request of the class would use now if its organisation may use all versions.
+func (r *Router) ClassChain(snapshot *declaration.Snapshot, class *api.Class) []declaration.VersionID {
+	random := rand.New(rand.NewPCG(1, 1))
+	plan, problem := r.Planner.Plan(PlanInput{
+		Snapshot:   snapshot,
+		Class:      class,
+		Candidates: r.Planner.Propose(snapshot, class.Name, snapshot.Versions(), random),
+		Tokens:     defaultExplainTokens,
+		TimeLeft:   time.Until(deadlineOf(class, time.Now())),
+		Random:     random,
+	})
+	if problem != nil {
+		return nil
+	}
+	if !plan.Chain.TwoSteps() {
+		return []declaration.VersionID{plan.Chain.First}
+	}
+	return []declaration.VersionID{plan.Chain.First, plan.Chain.Second}
+}
+
 func (r *Router) explainVersion(snapshot *declaration.Snapshot, organisation, class string, id declaration.VersionID) api.ExplainStep {
 	reason, held := r.Config.Held(id)
 	switch {
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -48,7 +48,7 @@
 	var models []string
 	for _, id := range allowed {
 		version, ok := snapshot.Version(id)
-		if !ok {
+		if !ok || !snapshot.Usable(id) {
 			continue
 		}
 		present, seen := chosen[id.Model]
--- a/internal/httpsend/sender.go
+++ b/internal/httpsend/sender.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"io"
 	"net"
@@ -30,6 +31,8 @@
 	// FreshConnections uses a new connection for each request, so that no request meets a connection that the server is
 	// about to close.
 	FreshConnections bool
+	// TLS is the client configuration for https; nil takes the library's.
+	TLS *tls.Config
 }
 
 // Error is a request that got no response.
@@ -76,6 +79,7 @@
 		IdleConnTimeout:        options.IdleTimeout,
 		DisableKeepAlives:      options.FreshConnections,
 		DisableCompression:     true,
+		TLSClientConfig:        options.TLS,
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}}
 }
--- a/internal/rendezvous/rendezvous.go
+++ b/internal/rendezvous/rendezvous.go
@@ -2,7 +2,12 @@
 // keys that it gains or had.
 package rendezvous
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // Weight returns the weight of a member for a key.
 func Weight(key, member string) uint64 {
@@ -24,3 +29,10 @@
 	}
 	return owner
 }
+
+// Sort orders the members by falling weight for the key.
+func Sort(key string, members []string) {
+	slices.SortFunc(members, func(a, b string) int {
+		return cmp.Or(cmp.Compare(Weight(key, b), Weight(key, a)), cmp.Compare(a, b))
+	})
+}
