Add membership, quorum rules and configuration synchronisation

Instances register in an append-only log of rows, follow it, and exchange digests. A revision is accepted only when the required majorities hold and, for instances that did not acknowledge, 2B later. Registrations end by a row of the log, so that a poll reads only new rows. An instance reports no revision until it has read one after it registered, and it ends registrations only after its configuration was confirmed: otherwise a majority could be counted that an accepted revision never reached.

--- a/internal/api/operator.gen.go
+++ b/internal/api/operator.gen.go
@@ -5,12 +5,13 @@
 
 // Defines values for ApplyResponseState.
 const (
-	ApplyAccepted ApplyResponseState = "accepted"
-	ApplyConflict ApplyResponseState = "conflict"
-	ApplyInvalid  ApplyResponseState = "invalid"
-	ApplyPending  ApplyResponseState = "pending"
-	ApplyUnknown  ApplyResponseState = "unknown"
-	ApplyValid    ApplyResponseState = "valid"
+	ApplyAccepted    ApplyResponseState = "accepted"
+	ApplyConflict    ApplyResponseState = "conflict"
+	ApplyInvalid     ApplyResponseState = "invalid"
+	ApplyPending     ApplyResponseState = "pending"
+	ApplyUnavailable ApplyResponseState = "unavailable"
+	ApplyUnknown     ApplyResponseState = "unknown"
+	ApplyValid       ApplyResponseState = "valid"
 )
 
 // Valid indicates whether the value is a known member of the ApplyResponseState enum.
@@ -24,6 +25,8 @@
 		return true
 	case ApplyPending:
 		return true
+	case ApplyUnavailable:
+		return true
 	case ApplyUnknown:
 		return true
 	case ApplyValid:
@@ -52,7 +55,10 @@
 	ConflictAuthor   string `json:"conflictAuthor,omitempty" yaml:"conflictAuthor,omitempty"`
 	ConflictChangeID string `json:"conflictChangeID,omitempty" yaml:"conflictChangeID,omitempty"`
 	ConflictRevision int64  `json:"conflictRevision,omitempty" yaml:"conflictRevision,omitempty"`
-	ElapsedMillis    int    `json:"elapsedMillis,omitempty" yaml:"elapsedMillis,omitempty"`
+
+	// Detail What happened and what to do next.
+	Detail        string `json:"detail,omitempty" yaml:"detail,omitempty"`
+	ElapsedMillis int    `json:"elapsedMillis,omitempty" yaml:"elapsedMillis,omitempty"`
 
 	// NotInForce Names of the instances that have not acknowledged the revision.
 	NotInForce []string  `json:"notInForce,omitempty" yaml:"notInForce,omitempty"`
@@ -61,11 +67,13 @@
 
 	// State accepted: in force everywhere and never reverts. pending: committed, not yet in force everywhere.
 	// conflict: another change took the revision. invalid: refused, nothing changed. unknown: the store did not say.
+	// valid: a dry run found no fault. unavailable: the store did not take the change, nothing changed.
 	State ApplyResponseState `json:"state" yaml:"state"`
 }
 
 // ApplyResponseState accepted: in force everywhere and never reverts. pending: committed, not yet in force everywhere.
 // conflict: another change took the revision. invalid: refused, nothing changed. unknown: the store did not say.
+// valid: a dry run found no fault. unavailable: the store did not take the change, nothing changed.
 type ApplyResponseState string
 
 // BackendServerStatus defines model for BackendServerStatus.
--- a/internal/api/peer.gen.go
+++ b/internal/api/peer.gen.go
@@ -176,19 +176,38 @@
 // OrderClaimState defines model for OrderClaim.State.
 type OrderClaimState string
 
+// RegisteredInstance defines model for RegisteredInstance.
+type RegisteredInstance struct {
+	// LeftSequence Sequence of the row that ended the registration; absent while it holds.
+	LeftSequence int64 `json:"leftSequence,omitempty" yaml:"leftSequence,omitempty"`
+
+	// Registration Value of a registration row.
+	Registration Registration `json:"registration" yaml:"registration"`
+	Sequence     int64        `json:"sequence" yaml:"sequence"`
+}
+
 // Registration Value of a registration row.
 type Registration struct {
 	AvailabilityZone string `json:"availabilityZone" yaml:"availabilityZone"`
-	Incarnation      string `json:"incarnation" yaml:"incarnation"`
-	Ip               string `json:"ip" yaml:"ip"`
 
-	// Left Whether the instance deregistered or was found gone.
+	// EndsSequence Sequence of the registration that the row ends.
+	EndsSequence int64  `json:"endsSequence,omitempty" yaml:"endsSequence,omitempty"`
+	Incarnation  string `json:"incarnation" yaml:"incarnation"`
+	Ip           string `json:"ip" yaml:"ip"`
+
+	// Left The row ends a registration, whose instance deregistered or was found gone.
 	Left     bool   `json:"left,omitempty" yaml:"left,omitempty"`
 	Name     string `json:"name" yaml:"name"`
 	PeerPort int    `json:"peerPort" yaml:"peerPort"`
 	Region   string `json:"region,omitempty" yaml:"region,omitempty"`
 }
 
+// RegistrationSet Registrations that were added or ended after a sequence, as the sender knows them.
+type RegistrationSet struct {
+	Instances    []RegisteredInstance `json:"instances" yaml:"instances"`
+	LastSequence int64                `json:"lastSequence" yaml:"lastSequence"`
+}
+
 // RevisionDocument defines model for RevisionDocument.
 type RevisionDocument struct {
 	Document string `json:"document" yaml:"document"`
--- /dev/null
+++ b/internal/quorum/schedule_test.go
@@ -0,0 +1,248 @@
+package quorum_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/cicadawall/cicadawall/internal/api"
+	"github.com/cicadawall/cicadawall/internal/declaration"
+	"github.com/cicadawall/cicadawall/internal/membership"
+	"github.com/cicadawall/cicadawall/internal/quorum"
+	"github.com/cicadawall/cicadawall/internal/table"
+)
+
+const bound = 6 * time.Second
+
+// node is one instance of the model: real tables and digests, a modelled store and clock.
+type node struct {
+	name      string
+	peers     *table.Peers
+	config    *table.Config
+	alive     bool
+	died      time.Time
+	store     bool
+	partition int
+}
+
+type change struct {
+	by        *node
+	revision  int64
+	read      bool
+	satisfied time.Time
+}
+
+type world struct {
+	t        *rapid.T
+	now      time.Time
+	log      []table.Registered
+	revision int64
+	nodes    []*node
+	open     *change
+	accepted int64
+}
+
+func (w *world) pick(label string) *node {
+	return w.nodes[rapid.IntRange(0, len(w.nodes)-1).Draw(w.t, label)]
+}
+
+func (w *world) start() {
+	if len(w.nodes) >= 12 {
+		return
+	}
+	n := &node{name: fmt.Sprint(len(w.nodes)), peers: table.NewPeers(), alive: true, store: true}
+	n.config = table.NewConfig(bound, n.peers.Majority(bound))
+	w.nodes = append(w.nodes, n)
+	if len(w.nodes) > 4 {
+		n.partition = rapid.IntRange(0, 1).Draw(w.t, "side of peers")
+	}
+	w.register(n)
+}
+
+func (w *world) register(n *node) {
+	if _, registered := n.peers.Self(); registered || !w.readLog(n) {
+		return
+	}
+	row := table.Registered{Sequence: int64(len(w.log) + 1), Registration: api.Registration{Incarnation: n.name, Name: n.name}}
+	w.log = append(w.log, row)
+	n.peers.SetSelf(row.Sequence, w.now)
+	w.readLog(n)
+	if len(w.nodes) <= 4 {
+		w.readConfig(n)
+	}
+}
+
+func (w *world) readLog(n *node) bool {
+	if !n.alive || !n.store {
+		return false
+	}
+	rows := w.log[n.peers.Last():]
+	for _, row := range rows {
+		if row.Registration.Left {
+			w.readConfig(n)
+		}
+	}
+	n.peers.Apply(rows)
+	return true
+}
+
+func (w *world) readConfig(n *node) {
+	if !n.alive || !n.store {
+		return
+	}
+	w.install(n, w.revision)
+	n.config.Confirm(w.revision, w.now)
+	n.peers.Report(w.revision, w.now)
+}
+
+func (w *world) install(n *node, revision int64) {
+	n.config.Install(declaration.Compile(revision, &api.Declaration{}))
+	n.peers.Installed(n.config.Revision())
+}
+
+func (w *world) pull(to, from *node) {
+	if !to.alive || !from.alive || to == from || to.partition != from.partition {
+		return
+	}
+	digest := membership.Build(from.name, from.peers, from.config.State().Confirmed, w.now)
+	if digest.LastSequence > to.peers.Last() && rapid.Bool().Draw(w.t, "adopts") {
+		to.peers.Adopt(from.peers.Since(to.peers.Last()))
+	}
+	newest := membership.Merge(digest, w.now, to.peers)
+	if newest <= to.config.Revision() {
+		return
+	}
+	to.config.Heard(newest)
+	if rapid.Bool().Draw(w.t, "fetches") && from.config.Revision() >= newest {
+		w.install(to, from.config.Revision())
+	}
+}
+
+// coldStart is the rule of an instance that cannot read the store.
+func (w *world) coldStart(n *node) {
+	revision, oldest := n.peers.View().Adoptable(bound, w.now)
+	if !n.alive || revision == 0 || n.peers.Reporting() {
+		return
+	}
+	w.install(n, revision)
+	n.peers.Report(n.config.Revision(), oldest)
+}
+
+func (w *world) commit(n *node) {
+	if w.open != nil || !n.alive || !n.store {
+		return
+	}
+	w.revision++
+	w.open = &change{by: n, revision: w.revision}
+	w.readConfig(n)
+}
+
+func (w *world) checkAcceptance() {
+	if w.open == nil || !w.open.by.alive {
+		w.open = nil
+		return
+	}
+	w.open.read = w.readLog(w.open.by) || w.open.read
+	verdict := quorum.Required(w.open.by.peers.View().Members, w.open.revision)
+	if !w.open.read || !verdict.Satisfied {
+		return
+	}
+	if w.open.satisfied.IsZero() {
+		w.open.satisfied = w.now
+	}
+	if len(verdict.Missing) == 0 || w.now.Sub(w.open.satisfied) >= 2*bound {
+		w.accepted = max(w.accepted, w.open.revision)
+		w.open = nil
+	}
+}
+
+// leave ends an instance: by its own deregistration, or by a crash and the removal after 30 s of absence.
+func (w *world) leave(n *node) {
+	self, registered := n.peers.Self()
+	if n.alive {
+		n.alive, n.died = false, w.now
+		if !n.store || rapid.Bool().Draw(w.t, "crashes") {
+			return
+		}
+	} else if w.now.Sub(n.died) < 30*time.Second {
+		return
+	}
+	if registered && !w.ended(self) {
+		w.log = append(w.log, table.Registered{
+			Sequence: int64(len(w.log) + 1), Registration: api.Registration{Incarnation: n.name, Left: true, EndsSequence: self},
+		})
+	}
+}
+
+func (w *world) ended(sequence int64) bool {
+	for _, row := range w.log {
+		if row.Registration.EndsSequence == sequence {
+			return true
+		}
+	}
+	return false
+}
+
+// chance draws true in about one of n cases.
+func (w *world) chance(n int, label string) bool { return rapid.IntRange(0, n-1).Draw(w.t, label) == 0 }
+
+// step is one round of 1 s: rare events, then the polls and pulls of every instance.
+func (w *world) step() {
+	w.now = w.now.Add(time.Second)
+	if w.chance(4, "start?") {
+		w.start()
+	}
+	if w.chance(12, "leave?") {
+		w.leave(w.pick("leaves"))
+	}
+	if w.chance(4, "move?") {
+		n := w.pick("moves")
+		n.partition = rapid.IntRange(0, 1).Draw(w.t, "to")
+		n.store = n.partition == 0
+	}
+	if w.chance(4, "commit?") {
+		w.commit(w.pick("commits"))
+	}
+	for _, n := range w.nodes {
+		if w.chance(4, "paused") {
+			continue
+		}
+		w.round(n)
+	}
+	w.checkAcceptance()
+}
+
+func (w *world) round(n *node) {
+	w.register(n)
+	if w.chance(2, "reads log") {
+		w.readLog(n)
+	}
+	if w.chance(2, "polls") {
+		w.readConfig(n)
+	}
+	w.coldStart(n)
+	w.pull(n, w.pick("from"))
+	w.pull(n, w.pick("from"))
+}
+
+// Guards against an instance that serves an older revision after a newer one was accepted, whatever the order of
+// registrations, removals, partitions, store outages, acknowledgements and time.
+func TestNoOldRevisionServesAfterAcceptance(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := &world{t: t, now: time.Unix(1000, 0), revision: 1}
+		for range rapid.IntRange(1, 5).Draw(t, "instances") {
+			w.start()
+		}
+		for range rapid.IntRange(10, 60).Draw(t, "rounds") {
+			w.step()
+			for _, n := range w.nodes {
+				snapshot, refused := n.config.Current(w.now)
+				if n.alive && refused == nil && snapshot.Revision < w.accepted {
+					t.Fatalf("instance %s serves revision %d after revision %d was accepted", n.name, snapshot.Revision, w.accepted)
+				}
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/server/operatorhttp/operatorhttp.go
@@ -0,0 +1,116 @@
+// Package operatorhttp is the HTTP front end of the configuration part of the operator API.
+package operatorhttp
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/cicadawall/cicadawall/internal/api"
+)
+
+// maxBody bounds a request in bytes; a declaration has at most 1 MiB, which JSON escapes may double.
+const maxBody = 4 << 20
+
+// Configuration is the configuration service of this instance.
+type Configuration interface {
+	Apply(ctx context.Context, req api.ApplyRequest) api.ApplyResponse
+	Show() (api.ConfigDocument, bool)
+	Status() api.ConfigStatus
+}
+
+// Handlers are the echo handlers of one instance.
+type Handlers struct {
+	Configuration Configuration
+}
+
+// Register adds the routes to the group, which must carry Authenticate.
+func (h Handlers) Register(group *echo.Group) {
+	group.GET("/operator/v1/config", h.show)
+	group.POST("/operator/v1/config", h.apply)
+	group.GET("/operator/v1/config/status", h.status)
+}
+
+// Authenticate accepts requests with a bearer key whose SHA-256 hash (hex) is listed. Without hashes it refuses all.
+func Authenticate(hashes []string) echo.MiddlewareFunc {
+	var known [][]byte
+	for _, text := range hashes {
+		if hash, err := hex.DecodeString(text); err == nil {
+			known = append(known, hash)
+		}
+	}
+	return func(next echo.HandlerFunc) echo.HandlerFunc {
+		return func(c echo.Context) error {
+			key, ok := strings.CutPrefix(c.Request().Header.Get(echo.HeaderAuthorization), "Bearer ")
+			if !ok || !matches(known, key) {
+				return c.JSON(http.StatusUnauthorized, refusal("unauthenticated", "an operator key is required",
+					"send Authorization: Bearer <operator key>"))
+			}
+			return next(c)
+		}
+	}
+}
+
+// matches compares with every hash, so that its time tells nothing about them.
+func matches(known [][]byte, key string) bool {
+	sum := sha256.Sum256([]byte(key))
+	found := 0
+	for _, hash := range known {
+		found |= subtle.ConstantTimeCompare(hash, sum[:])
+	}
+	return found == 1
+}
+
+func refusal(code, message, advice string) api.ErrorBody {
+	return api.ErrorBody{Error: api.ErrorDetail{
+		Message: message, Type: "invalid_request_error", Code: code, Outcome: api.OutcomeNotRun, Step: "configure", Advice: advice,
+	}}
+}
+
+func (h Handlers) show(c echo.Context) error {
+	doc, ok := h.Configuration.Show()
+	if !ok {
+		return c.JSON(http.StatusNotFound, refusal("configuration_stale", "no configuration is in force here",
+			"apply the first one on base revision 0, or ask another instance"))
+	}
+	return c.JSON(http.StatusOK, doc)
+}
+
+func (h Handlers) status(c echo.Context) error {
+	return c.JSON(http.StatusOK, h.Configuration.Status())
+}
+
+func (h Handlers) apply(c echo.Context) error {
+	body, err := io.ReadAll(io.LimitReader(c.Request().Body, maxBody+1))
+	if err != nil || len(body) > maxBody {
+		return c.JSON(http.StatusRequestEntityTooLarge, refusal("body_too_large", "the request is too large", "send at most 4 MiB"))
+	}
+	var req api.ApplyRequest
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&req); err != nil {
+		return c.JSON(http.StatusBadRequest, refusal("invalid_request", "the request is not a valid ApplyRequest", "see api/operator.yaml"))
+	}
+	response := h.Configuration.Apply(c.Request().Context(), req)
+	return c.JSON(statusOf(response.State), response)
+}
+
+func statusOf(state api.ApplyResponseState) int {
+	switch state {
+	case api.ApplyConflict:
+		return http.StatusConflict
+	case api.ApplyInvalid:
+		return http.StatusUnprocessableEntity
+	case api.ApplyUnavailable:
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusOK
+}
--- /dev/null
+++ b/internal/table/peers.go
@@ -0,0 +1,234 @@
+package table
+
+import (
+	"sort"
+	"time"
+
+	"github.com/cicadawall/cicadawall/internal/api"
+	"github.com/cicadawall/cicadawall/internal/lockorder"
+	"github.com/cicadawall/cicadawall/internal/quorum"
+)
+
+// keptSequences is the number of log rows for which ended registrations are kept, so that the digest of a peer that is
+// behind can still be read. Two rows are written per restart; at 570 restarts a day this is about a day.
+const keptSequences = 1024
+
+// Peer is a registered instance, as this instance knows it.
+type Peer struct {
+	quorum.Member
+	Registration api.Registration
+}
+
+// Registered is one row of the registration log.
+type Registered struct {
+	Sequence     int64
+	Registration api.Registration
+}
+
+// Peers is the table of registered instances. It follows the registration log, whose rows add an instance or end the
+// registration of one, and keeps the last report of each.
+type Peers struct {
+	mu   *lockorder.RWMutex
+	rows map[int64]*Peer
+	last int64
+	// self is the own sequence, since the time before the insert of the own row.
+	self     int64
+	since    time.Time
+	revision int64
+	reports  bool
+}
+
+// NewPeers returns an empty table.
+func NewPeers() *Peers {
+	return &Peers{mu: lockorder.NewRW(lockorder.RankPeers), rows: map[int64]*Peer{}}
+}
+
+// Apply adds rows that follow the last known one. Rows already known are ignored; a gap ends the call.
+func (t *Peers) Apply(rows []Registered) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, row := range rows {
+		if row.Sequence <= t.last {
+			continue
+		}
+		if row.Sequence != t.last+1 {
+			return
+		}
+		t.last = row.Sequence
+		if row.Registration.Left {
+			t.endLocked(row)
+			continue
+		}
+		t.rows[row.Sequence] = &Peer{Member: quorum.Member{Sequence: row.Sequence}, Registration: row.Registration}
+	}
+	t.ownLocked()
+	t.pruneLocked()
+}
+
+func (t *Peers) endLocked(row Registered) {
+	if peer, ok := t.rows[row.Registration.EndsSequence]; ok && peer.Left == 0 {
+		peer.Left = row.Sequence
+	}
+}
+
+func (t *Peers) pruneLocked() {
+	for sequence, peer := range t.rows {
+		if peer.Left != 0 && peer.Left < t.last-keptSequences {
+			delete(t.rows, sequence)
+		}
+	}
+}
+
+// Adopt takes the registrations of a peer that knows more of the log. Its set must start where this table ends.
+func (t *Peers) Adopt(set api.RegistrationSet) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if set.LastSequence <= t.last {
+		return
+	}
+	for _, entry := range set.Instances {
+		row, known := t.rows[entry.Sequence]
+		if !known {
+			row = &Peer{Member: quorum.Member{Sequence: entry.Sequence}, Registration: entry.Registration}
+			t.rows[entry.Sequence] = row
+		}
+		if row.Left == 0 {
+			row.Left = entry.LeftSequence
+		}
+	}
+	t.last = set.LastSequence
+	t.ownLocked()
+	t.pruneLocked()
+}
+
+// Since returns the registrations that were added or ended after the sequence.
+func (t *Peers) Since(after int64) api.RegistrationSet {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	set := api.RegistrationSet{LastSequence: t.last, Instances: []api.RegisteredInstance{}}
+	for _, peer := range t.sortedLocked() {
+		if peer.Sequence > after || peer.Left > after {
+			set.Instances = append(set.Instances, api.RegisteredInstance{
+				Sequence: peer.Sequence, LeftSequence: peer.Left, Registration: peer.Registration,
+			})
+		}
+	}
+	return set
+}
+
+// SetSelf names the own row, whose insert started at the given time. Until a configuration is read that is at least as
+// recent, this instance reports no revision: its revision might be older than one accepted before it registered.
+func (t *Peers) SetSelf(sequence int64, start time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.self, t.since, t.reports = sequence, start, false
+	t.ownLocked()
+}
+
+// Report records the own revision, which a read started at the given time found to be the newest.
+func (t *Peers) Report(revision int64, start time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.revision = max(t.revision, revision)
+	t.reports = t.reports || !start.Before(t.since)
+	t.ownLocked()
+}
+
+// Installed records the own revision without a statement about its age.
+func (t *Peers) Installed(revision int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.revision = max(t.revision, revision)
+	t.ownLocked()
+}
+
+// Reporting reports whether peers are told the own revision.
+func (t *Peers) Reporting() bool {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.reports
+}
+
+func (t *Peers) ownLocked() {
+	row, ok := t.rows[t.self]
+	if !ok {
+		return
+	}
+	row.Known = t.last
+	if t.reports {
+		row.Revision = t.revision
+	}
+}
+
+// Observe records a report of a peer that held at the given time. Revision and known sequence never fall.
+func (t *Peers) Observe(sequence, revision, known int64, heard time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	row, ok := t.rows[sequence]
+	if !ok || sequence == t.self {
+		return
+	}
+	row.Revision = max(row.Revision, revision)
+	row.Known = max(row.Known, known)
+	if heard.After(row.Heard) {
+		row.Heard = heard
+	}
+}
+
+// Self returns the own sequence, and false if this instance is not registered or its registration was ended.
+func (t *Peers) Self() (int64, bool) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	row, ok := t.rows[t.self]
+	return t.self, ok && row.Left == 0
+}
+
+// Last returns the highest registration sequence known.
+func (t *Peers) Last() int64 {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.last
+}
+
+// At returns the instances that were registered after the row with the sequence, in order.
+func (t *Peers) At(sequence int64) []Peer {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	var out []Peer
+	for _, peer := range t.sortedLocked() {
+		if peer.Sequence <= sequence && (peer.Left == 0 || peer.Left > sequence) {
+			out = append(out, peer)
+		}
+	}
+	return out
+}
+
+// Live returns the registered instances in order of sequence.
+func (t *Peers) Live() []Peer { return t.At(t.Last()) }
+
+// View returns the table as the quorum rules read it.
+func (t *Peers) View() quorum.View {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	view := quorum.View{Self: t.self, Last: t.last}
+	for _, peer := range t.sortedLocked() {
+		if peer.Left == 0 {
+			view.Members = append(view.Members, peer.Member)
+		}
+	}
+	return view
+}
+
+func (t *Peers) sortedLocked() []Peer {
+	out := make([]Peer, 0, len(t.rows))
+	for _, peer := range t.rows {
+		out = append(out, *peer)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Sequence < out[j].Sequence })
+	return out
+}
+
+// Majority returns the rule by which an instance without a fresh confirmation may serve.
+func (t *Peers) Majority(bound time.Duration) Majority {
+	return func(revision int64, now time.Time) bool { return t.View().Supports(revision, bound, now) }
+}
