--- /dev/null
+++ b/internal/standin/platform/platform_test.go
@@ -0,0 +1,78 @@
+package platform
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/cicadawall/cicadawall/internal/api"
+)
+
+// Guards against a list that shows changes before its lag, or changes while it is frozen.
+func TestListLagsAndFreezes(t *testing.T) {
+	list := newListTable()
+	start := time.Unix(1000, 0)
+	list.put(api.InstanceEntry{Id: "a", State: api.InstanceLive}, start)
+	list.leave("a", start.Add(time.Second))
+	if got := list.shown(false, start.Add(-time.Millisecond)); len(got) != 0 {
+		t.Errorf("list before the entry: %v", got)
+	}
+	if got := list.shown(false, start.Add(500*time.Millisecond)); len(got) != 1 || got[0].State != api.InstanceLive {
+		t.Errorf("lagging list: %v", got)
+	}
+	list.freeze(true)
+	list.remove("a", start.Add(2*time.Second))
+	if got := list.shown(true, start.Add(time.Minute)); len(got) != 1 || got[0].State != api.InstanceLeaving {
+		t.Errorf("frozen list: %v", got)
+	}
+	list.freeze(false)
+	if got := list.shown(false, start.Add(time.Minute)); len(got) != 0 {
+		t.Errorf("list after the freeze: %v", got)
+	}
+	if list.leave("b", start) {
+		t.Error("an absent entry was marked as leaving")
+	}
+}
+
+// Guards against scores that come early, twice or to another instance, and against scores that ignore the marker.
+func TestRatings(t *testing.T) {
+	table := newRatingTable(1)
+	now := time.Unix(1000, 0)
+	sum := 0.0
+	const count = 400
+	for i := range count {
+		request := api.RatingRequest{Id: fmt.Sprint(i), Instance: "one", Answer: "[q=0.7000] boxes"}
+		table.submit(request, now.Add(time.Second))
+		table.submit(request, now)
+	}
+	if early := table.results("one", "", now); len(early.Ratings) != 0 || early.Next != "0" {
+		t.Fatalf("%d scores came early", len(early.Ratings))
+	}
+	results := table.results("one", "0", now.Add(time.Second))
+	for _, rating := range results.Ratings {
+		sum += rating.Score
+	}
+	if len(results.Ratings) != count || math.Abs(sum/count-0.7) > 4*scoreNoise/math.Sqrt(count) {
+		t.Errorf("%d scores with mean %.3f, want %d with about 0.7", len(results.Ratings), sum/count, count)
+	}
+	if other := table.results("two", "0", now.Add(time.Second)); len(other.Ratings) != 0 || other.Next != results.Next {
+		t.Errorf("another instance got %d scores, cursor %s", len(other.Ratings), other.Next)
+	}
+}
+
+// Guards against a weight store that grants two loads at a time when its rate allows one.
+func TestWeightsAreLimited(t *testing.T) {
+	table := newWeightTable()
+	faults := api.PlatformFaults{WeightBytes: 1000, WeightBytesPerSecond: 100}
+	now := time.Unix(1000, 0)
+	if grant := table.request(faults, now); grant.GrantedBytes != 1000 {
+		t.Errorf("first load: %+v", grant)
+	}
+	if grant := table.request(faults, now.Add(9*time.Second)); grant.GrantedBytes != 0 || grant.RetryAfterMillis != 1001 {
+		t.Errorf("load before the first is paid for: %+v", grant)
+	}
+	if grant := table.request(faults, now.Add(10*time.Second)); grant.GrantedBytes != 1000 {
+		t.Errorf("load afterwards: %+v", grant)
+	}
+}
