Serve requests from one end to the other with separate processes

The binary's serve command wires settings, membership, configuration, limits, orders, bills, evidence and the request path.

--- /dev/null
+++ b/internal/cli/serve.go
@@ -0,0 +1,52 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"os/signal"
+	"syscall"
+
+	"github.com/cicadawall/cicadawall/internal/app"
+	"github.com/cicadawall/cicadawall/internal/settings"
+	"github.com/cicadawall/cicadawall/internal/telemetry"
+)
+
+// ServeCommand runs one entry instance.
+type ServeCommand struct {
+	Settings string `arg:"--settings,required" help:"YAML file with the static settings of this instance" placeholder:"FILE"`
+	LogLevel string `arg:"--log-level" default:"info" help:"debug, info, warn or error"`
+}
+
+// Epilogue implements the example in the help text.
+func (ServeCommand) Epilogue() string {
+	return "Example: cicadawall serve --settings instance.yaml"
+}
+
+// run serves until SIGTERM or SIGINT and then drains.
+func (c *ServeCommand) run(stdout, stderr io.Writer) int {
+	set, problems := settings.Load(c.Settings)
+	if len(problems) > 0 {
+		printProblems(stderr, problems)
+		return ExitInvalid
+	}
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(c.LogLevel)); err != nil {
+		fmt.Fprintf(stderr, "--log-level %q is not one of debug, info, warn, error\n", c.LogLevel)
+		return ExitUsage
+	}
+	log := telemetry.NewLogger(stdout, set.Instance.Name, level)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	instance, err := app.New(set, log)
+	if err != nil {
+		log.Error("instance did not start", "error", err.Error())
+		return ExitFailed
+	}
+	if err := instance.Run(ctx); err != nil {
+		log.Error("instance stopped with an error", "error", err.Error())
+		return ExitFailed
+	}
+	return ExitOK
+}
