Keep the keys of the in-memory table in order

A range visited every row, so that configuration polls of the platform stand-in slowed down as bills piled up.

--- a/internal/platform/memory/table.go
+++ b/internal/platform/memory/table.go
@@ -3,7 +3,7 @@
 
 import (
 	"context"
-	"sort"
+	"slices"
 	"strings"
 	"sync"
 
@@ -40,8 +40,10 @@
 
 // Table is an in-memory table service. Several views of one table may have hooks of their own, see View.
 type Table struct {
-	mu      sync.Mutex
-	rows    map[string]api.Row
+	mu   sync.Mutex
+	rows map[string]api.Row
+	// keys holds the keys of rows in order, so that a range does not visit every row.
+	keys    []string
 	before  map[string]*api.Row
 	version int64
 	// Writes and Reads count calls that reached the table.
@@ -127,6 +129,8 @@
 		t.before[key] = &old
 	} else {
 		t.before[key] = nil
+		at, _ := slices.BinarySearch(t.keys, key)
+		t.keys = slices.Insert(t.keys, at, key)
 	}
 	t.version++
 	t.rows[key] = api.Row{Key: key, Value: append([]byte(nil), value...), Version: t.version}
@@ -161,17 +165,17 @@
 	defer t.mu.Unlock()
 	t.reads++
 	var rows []api.Row
-	for key := range t.rows {
-		if !strings.HasPrefix(key, prefix) || key <= after {
+	start, _ := slices.BinarySearch(t.keys, max(prefix, after))
+	for _, key := range t.keys[start:] {
+		if !strings.HasPrefix(key, prefix) || len(rows) >= limit {
+			break
+		}
+		if key <= after {
 			continue
 		}
 		if row, ok := t.lookup(key, stale); ok {
 			rows = append(rows, row)
 		}
 	}
-	sort.Slice(rows, func(i, j int) bool { return rows[i].Key < rows[j].Key })
-	if len(rows) > limit {
-		rows = rows[:limit]
-	}
 	return rows
 }
