--- a/internal/httpsend/conn.go
+++ b/internal/httpsend/conn.go
@@ -1,6 +1,7 @@
 package httpsend
 
 import (
+	"crypto/tls"
 	"net"
 	"net/http/httptrace"
 	"sync"
@@ -56,7 +57,7 @@
 func (a *attempt) gotConn(info httptrace.GotConnInfo) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	conn, ok := info.Conn.(*trackedConn)
+	conn, ok := tracked(info.Conn)
 	if !ok {
 		a.other = true
 		return
@@ -64,6 +65,15 @@
 	a.uses = append(a.uses, use{conn: conn, before: conn.count()})
 }
 
+// tracked returns the connection that counts writes, also below TLS.
+func tracked(conn net.Conn) (*trackedConn, bool) {
+	if secure, ok := conn.(*tls.Conn); ok {
+		conn = secure.NetConn()
+	}
+	counting, ok := conn.(*trackedConn)
+	return counting, ok
+}
+
 // sealAndReport reports whether a byte of the request may have left. It seals the connections first, because the
 // transport's writer may still run after RoundTrip returned an error.
 func (a *attempt) sealAndReport() bool {
--- a/internal/httpsend/sender.go
+++ b/internal/httpsend/sender.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"io"
 	"net"
@@ -30,6 +31,8 @@
 	// FreshConnections uses a new connection for each request, so that no request meets a connection that the server is
 	// about to close.
 	FreshConnections bool
+	// TLS configures https; nil means the system's roots.
+	TLS *tls.Config
 }
 
 // Error is a request that got no response.
@@ -75,6 +78,8 @@
 		MaxIdleConnsPerHost:    options.MaxConnsPerHost,
 		IdleConnTimeout:        options.IdleTimeout,
 		DisableKeepAlives:      options.FreshConnections,
+		TLSClientConfig:        options.TLS,
+		TLSHandshakeTimeout:    options.DialTimeout,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}}
--- a/internal/httpsend/sender_test.go
+++ b/internal/httpsend/sender_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"io"
+	"log"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -129,3 +131,21 @@
 		t.Fatalf("write on a sealed connection returned %v, want net.ErrClosed", err)
 	}
 }
+
+// Guards against the writes of a TLS handshake that count as the request, and against a request over TLS that does not
+// count.
+func TestTLS(t *testing.T) {
+	server := httptest.NewTLSServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
+	defer server.Close()
+	server.Config.ErrorLog = log.New(io.Discard, "", 0)
+	if _, err := New(Options{}).Do(post(t, t.Context(), server.URL, nil)); sentOf(t, err) {
+		t.Errorf("request to a server with an unknown certificate reported as sent: %v", err)
+	}
+	if _, ok := tracked(tls.Client(&trackedConn{}, &tls.Config{})); !ok {
+		t.Error("connection below TLS is not found")
+	}
+	trusting := New(Options{TLS: server.Client().Transport.(*http.Transport).TLSClientConfig})
+	if _, err := trusting.Do(post(t, t.Context(), server.URL, nil)); !sentOf(t, err) {
+		t.Errorf("request that the server read is reported as not sent: %v", err)
+	}
+}
