--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -191,7 +191,7 @@
 		t.Fatalf("error %v after %d chunks, want a stall after 2", err, assembler.ResumeFrom())
 	}
 
-	slow, _, slowPeer := startEngine(t, func(s *api.EngineStandinSettings) { s.TokenMillis = 60000 })
+	slow, slowListener, slowPeer := startEngine(t, func(s *api.EngineStandinSettings) { s.TokenMillis = 60000 })
 	running, err := client.Stream(t.Context(), slowPeer, request("c2"))
 	if err != nil {
 		t.Fatal(err)
@@ -206,14 +206,28 @@
 		t.Fatalf("%d completions cancelled, want 1", got)
 	}
 	listener.Close()
+
+	left, err := client.Stream(t.Context(), slowPeer, request("c3"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	left.Close()
+	slowListener.Close()
+	if got := slow.Counts().Cancelled; got != 2 {
+		t.Fatalf("%d completions cancelled after the reader has left, want 2", got)
+	}
 }
 
 // Guards against responses without bound and against data that is no chunk.
 func TestMalformedResponses(t *testing.T) {
-	tests := []struct{ name, body string }{
-		{"endless line", "data: " + strings.Repeat("a", 1<<20)},
-		{"no JSON", "id: 1\ndata: {\n\n"},
-		{"wrong type", "id: 1\ndata: {\"choices\":1}\n\n"},
+	tests := []struct {
+		name, body string
+		kind       Kind
+	}{
+		{"endless line", "data: " + strings.Repeat("a", 1<<20), KindMalformed},
+		{"no JSON", "id: 1\ndata: {\n\n", KindMalformed},
+		{"wrong type", "id: 1\ndata: {\"choices\":1}\n\n", KindMalformed},
+		{"error in the stream", "data: {\"error\":{\"code\":\"oom\"}}\n\n", KindFailed},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -230,8 +244,8 @@
 			if stream.Load() != nil {
 				t.Errorf("load report %+v from a header with a negative number", stream.Load())
 			}
-			if _, err := stream.Next(); kindOf(t, err).Kind != KindMalformed {
-				t.Errorf("error %v, want malformed", err)
+			if _, err := stream.Next(); kindOf(t, err).Kind != test.kind {
+				t.Errorf("error %v, want %v", err, test.kind)
 			}
 		})
 	}
--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/cicadawall/cicadawall/internal/api"
 	"github.com/cicadawall/cicadawall/internal/engine/sse"
 	"github.com/cicadawall/cicadawall/internal/engine/stream"
 )
@@ -97,7 +98,14 @@
 	if errors.Is(context.Cause(s.ctx), ErrStalled) {
 		err = ErrStalled
 	}
-	return &Error{Kind: kind, Step: streamStep, Peer: s.peer, Status: s.response.StatusCode, Load: s.load, Cause: err}
+	failed := &Error{Kind: kind, Step: streamStep, Peer: s.peer, Status: s.response.StatusCode, Load: s.load, Cause: err}
+	var reported *streamFailure
+	if errors.As(err, &reported) {
+		failed.Kind = KindFailed
+		failed.Code = reported.code
+		failed.Message = reported.message
+	}
+	return failed
 }
 
 // Close ends the stream. If it has not ended by itself, its connection is closed and the engine cancels the completion.
@@ -116,10 +124,23 @@
 	if string(event.Data) == endMarker {
 		return stream.Chunk{Sequence: sequence, End: true}, nil
 	}
-	chunk := stream.Chunk{Sequence: sequence}
-	if err := json.Unmarshal(event.Data, &chunk.Body); err != nil {
+	var data streamData
+	if err := json.Unmarshal(event.Data, &data); err != nil {
 		return stream.Chunk{}, err
 	}
-	chunk.CompletionID = chunk.Body.Id
-	return chunk, nil
+	if data.Error != nil {
+		return stream.Chunk{}, &streamFailure{code: data.Error.Code, message: data.Error.Message}
+	}
+	return stream.Chunk{CompletionID: data.Id, Sequence: sequence, Body: data.ChatCompletionChunk}, nil
 }
+
+// streamData is the data of an event: a chunk, or an error that ends the stream.
+type streamData struct {
+	api.ChatCompletionChunk
+	Error *api.ErrorDetail `json:"error"`
+}
+
+// streamFailure is an error that the engine reports inside a stream.
+type streamFailure struct{ code, message string }
+
+func (f *streamFailure) Error() string { return f.code + ": " + f.message }
