Limit the table rate of the platform stand-in and carry ids in KV exports

Calls beyond the rate are refused with 503 and no effect, as the table service does at its capacity. An engine that imported the KV cache of a completion resumes it without prefilling the tokens generated so far.

--- a/internal/api/standin.gen.go
+++ b/internal/api/standin.gen.go
@@ -148,7 +148,10 @@
 type PlatformCounts struct {
 	Ratings int `json:"ratings" yaml:"ratings"`
 	Reads   int `json:"reads" yaml:"reads"`
-	Writes  int `json:"writes" yaml:"writes"`
+
+	// Throttled Table calls that were refused for the rate.
+	Throttled int `json:"throttled" yaml:"throttled"`
+	Writes    int `json:"writes" yaml:"writes"`
 }
 
 // PlatformFaults Faults of the platform stand-in. Zero values mean normal service.
@@ -182,6 +185,9 @@
 	RatingDelayMillis int  `json:"ratingDelayMillis,omitempty" yaml:"ratingDelayMillis,omitempty"`
 	RatingsOutage     bool `json:"ratingsOutage,omitempty" yaml:"ratingsOutage,omitempty"`
 
+	// ReadsPerSecond Table reads beyond this rate are refused with 503; 0 means no limit.
+	ReadsPerSecond int `json:"readsPerSecond,omitempty" yaml:"readsPerSecond,omitempty"`
+
 	// StaleReads Reads answer from the state before the last write of each row.
 	StaleReads bool `json:"staleReads,omitempty" yaml:"staleReads,omitempty"`
 
@@ -190,6 +196,9 @@
 
 	// WeightBytesPerSecond Rate limit of the weight store; 0 means unlimited.
 	WeightBytesPerSecond int64 `json:"weightBytesPerSecond,omitempty" yaml:"weightBytesPerSecond,omitempty"`
+
+	// WritesPerSecond Table writes beyond this rate are refused with 503; 0 means no limit.
+	WritesPerSecond int `json:"writesPerSecond,omitempty" yaml:"writesPerSecond,omitempty"`
 }
 
 // PlatformFaultsList defines model for PlatformFaults.List.
--- a/internal/platform/httpclient/client_test.go
+++ b/internal/platform/httpclient/client_test.go
@@ -137,3 +137,18 @@
 		t.Fatalf("ratings after the cursor %+v, %v", again, err)
 	}
 }
+
+// Guards against a write that was refused for the rate and passes as ambiguous.
+func TestRateLimit(t *testing.T) {
+	services, server := start(t)
+	server.SetFaults(api.PlatformFaults{WritesPerSecond: 1})
+	if _, err := services.Table.Put(t.Context(), "a", nil, platform.Condition{}); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := services.Table.Put(t.Context(), "a", nil, platform.Condition{}); !errors.Is(err, platform.ErrUnavailable) {
+		t.Fatalf("second write in a second returned %v, want unavailable", err)
+	}
+	if counts := server.Counts(); counts.Throttled != 1 || counts.Writes != 1 {
+		t.Fatalf("counts %+v", counts)
+	}
+}
--- a/internal/standin/engine/admin.go
+++ b/internal/standin/engine/admin.go
@@ -57,7 +57,13 @@
 	return c.NoContent(http.StatusOK)
 }
 
-// exportKV answers with the names of the completion's prompt blocks, which stand for the KV cache itself.
+// kvExport stands for the KV cache of one completion. Clients treat its encoding as opaque.
+type kvExport struct {
+	ID     string   `json:"id"`
+	Blocks []string `json:"blocks"`
+}
+
+// exportKV answers with the completion's id and prompt blocks.
 func (s *Server) exportKV(c echo.Context) error {
 	var request api.CancelRequest
 	if err := c.Bind(&request); err != nil {
@@ -67,7 +73,7 @@
 	if !ok {
 		return c.NoContent(http.StatusNotFound)
 	}
-	body, err := json.Marshal(found.blocks)
+	body, err := json.Marshal(kvExport{ID: request.Id, Blocks: found.blocks})
 	if err != nil {
 		return err
 	}
@@ -79,11 +85,12 @@
 	if err != nil {
 		return err
 	}
-	var blocks []string
-	if err := json.Unmarshal(body, &blocks); err != nil {
+	var export kvExport
+	if err := json.Unmarshal(body, &export); err != nil {
 		return c.String(http.StatusBadRequest, "not an export of this engine")
 	}
-	s.cache.use(blocks, s.state.getSettings(), time.Now())
+	s.cache.use(export.Blocks, s.state.getSettings(), time.Now())
+	s.registry.add(export.ID, func() {}, export.Blocks)
 	return c.NoContent(http.StatusOK)
 }
 
--- a/internal/standin/engine/completions.go
+++ b/internal/standin/engine/completions.go
@@ -75,8 +75,8 @@
 	ctx, cancel := context.WithCancel(c.Request().Context())
 	defer cancel()
 	blocks := prefix.Blocks(done.version.Model, done.version.Version, done.prompt)
-	s.registry.add(done.id, cancel, blocks)
 	sequence := s.sequence(ctx, done, blocks)
+	s.registry.add(done.id, cancel, blocks)
 	sequence.priority, _ = strconv.Atoi(c.Request().Header.Get(priorityHeader))
 	if !s.queue.push(sequence) {
 		return s.refuse(c, http.StatusTooManyRequests, "queue_full", "the queue is full")
@@ -96,12 +96,16 @@
 	return s.whole(c, done, sequence)
 }
 
-// sequence computes the work of the completion. Cached blocks need no prefill.
+// sequence computes the work of the completion. Cached blocks need no prefill, and neither do the tokens of a resumed
+// answer if this engine has the KV cache of the completion.
 func (s *Server) sequence(ctx context.Context, done *completion, blocks []string) *sequence {
 	settings := s.state.getSettings()
 	hits := s.cache.use(blocks, settings, time.Now())
 	fresh := promptTokens(done.prompt[hits*prefix.BlockBytes:])
 	total := len(done.answer.tokens)
+	if _, known := s.registry.find(done.id); !known {
+		fresh += min(done.from, total)
+	}
 	return &sequence{
 		ctx:      ctx,
 		id:       done.id,
--- a/internal/standin/engine/registry.go
+++ b/internal/standin/engine/registry.go
@@ -28,8 +28,10 @@
 func (t *registryTable) add(id string, cancel context.CancelFunc, blocks []string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.kept[id] == nil {
+		t.order = append(t.order, id)
+	}
 	t.kept[id] = &kept{cancel: cancel, blocks: blocks}
-	t.order = append(t.order, id)
 	if len(t.order) > maxKept {
 		delete(t.kept, t.order[0])
 		t.order = t.order[1:]
--- a/internal/standin/platform/admin.go
+++ b/internal/standin/platform/admin.go
@@ -46,7 +46,9 @@
 // Counts returns the calls that reached the services.
 func (s *Server) Counts() api.PlatformCounts {
 	writes, reads := s.rows.Counts()
-	return api.PlatformCounts{Writes: writes, Reads: reads, Ratings: s.ratings.count()}
+	return api.PlatformCounts{
+		Writes: writes, Reads: reads, Ratings: s.ratings.count(), Throttled: s.faults.throttledCalls(),
+	}
 }
 
 func (s *Server) showList(c echo.Context) error {
--- a/internal/standin/platform/faults.go
+++ b/internal/standin/platform/faults.go
@@ -5,6 +5,8 @@
 	"strings"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/cicadawall/cicadawall/internal/api"
 	"github.com/cicadawall/cicadawall/internal/lockorder"
 )
@@ -25,6 +27,9 @@
 type faultTable struct {
 	mu     *lockorder.Mutex
 	faults api.PlatformFaults
+	// writes and reads limit the table's rate; nil means no limit.
+	writes, reads *rate.Limiter
+	throttled     int
 }
 
 func newFaultTable() *faultTable {
@@ -45,6 +50,37 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.faults = faults
+	t.writes = limiter(faults.WritesPerSecond)
+	t.reads = limiter(faults.ReadsPerSecond)
+}
+
+// limiter allows a burst of one tenth of a second.
+func limiter(perSecond int) *rate.Limiter {
+	if perSecond == 0 {
+		return nil
+	}
+	return rate.NewLimiter(rate.Limit(perSecond), max(1, perSecond/10))
+}
+
+// throttle reports whether a table call exceeds the rate.
+func (t *faultTable) throttle(write bool, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	limit := t.reads
+	if write {
+		limit = t.writes
+	}
+	if limit == nil || limit.AllowN(now, 1) {
+		return false
+	}
+	t.throttled++
+	return true
+}
+
+func (t *faultTable) throttledCalls() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.throttled
 }
 
 // latency returns the delay of each call.
--- a/internal/standin/platform/rows.go
+++ b/internal/standin/platform/rows.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/labstack/echo/v4"
 	"github.com/pkg/errors"
@@ -21,13 +22,22 @@
 	return s.rows.View(func(memory.Op, string) memory.Fault { return memory.FaultStale })
 }
 
+// gateRow is gate for calls of the table service, whose rate is limited.
+func (s *Server) gateRow(c echo.Context, key string, write bool) verdict {
+	verdict := s.gate(c, key, write)
+	if verdict == verdictServe && s.faults.throttle(write, time.Now()) {
+		return verdictRefuse
+	}
+	return verdict
+}
+
 func (s *Server) putRow(c echo.Context) error {
 	key := key(c, rowsPath)
 	var request api.PutRowRequest
 	if err := c.Bind(&request); err != nil {
 		return err
 	}
-	verdict := s.gate(c, key, true)
+	verdict := s.gateRow(c, key, true)
 	if verdict == verdictRefuse {
 		return refused(c)
 	}
@@ -48,7 +58,7 @@
 
 func (s *Server) getRow(c echo.Context) error {
 	key := key(c, rowsPath)
-	verdict := s.gate(c, key, false)
+	verdict := s.gateRow(c, key, false)
 	if verdict == verdictRefuse {
 		return refused(c)
 	}
@@ -64,7 +74,7 @@
 
 func (s *Server) rangeRows(c echo.Context) error {
 	prefix := c.QueryParam("prefix")
-	verdict := s.gate(c, prefix, false)
+	verdict := s.gateRow(c, prefix, false)
 	if verdict == verdictRefuse {
 		return refused(c)
 	}
