--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -184,3 +184,14 @@
 		t.Errorf("limited answer: %d tokens, finish %q", len(short.tokens), short.finish)
 	}
 }
+
+// Guards against a command that makes a version bad and unloads it as well, or changes nothing.
+func TestVersionTurnsBad(t *testing.T) {
+	server := newServer(t, api.EngineStandinSettings{})
+	defer server.Stop()
+	server.SetVersion(api.EngineStandinVersion{Model: "small", Version: "1", Quality: 0.2})
+	version, loaded := server.state.loaded("small", "1", time.Now())
+	if !loaded || version.Quality != 0.2 || version.Tokens != 10 {
+		t.Errorf("version %+v, loaded %t", version, loaded)
+	}
+}
--- a/internal/standin/engine/state.go
+++ b/internal/standin/engine/state.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"cmp"
 	"sort"
 	"time"
 
@@ -39,21 +40,11 @@
 }
 
 func withDefaults(settings api.EngineStandinSettings) api.EngineStandinSettings {
-	if settings.Batch == 0 {
-		settings.Batch = defaultBatch
-	}
-	if settings.Queue == 0 {
-		settings.Queue = defaultQueue
-	}
-	if settings.TokenMillis == 0 {
-		settings.TokenMillis = defaultTokenMillis
-	}
-	if settings.PrefillMicros == 0 {
-		settings.PrefillMicros = defaultPrefill
-	}
-	if settings.CacheBlocks == 0 {
-		settings.CacheBlocks = defaultCacheBlocks
-	}
+	settings.Batch = cmp.Or(settings.Batch, defaultBatch)
+	settings.Queue = cmp.Or(settings.Queue, defaultQueue)
+	settings.TokenMillis = cmp.Or(settings.TokenMillis, defaultTokenMillis)
+	settings.PrefillMicros = cmp.Or(settings.PrefillMicros, defaultPrefill)
+	settings.CacheBlocks = cmp.Or(settings.CacheBlocks, defaultCacheBlocks)
 	return settings
 }
 
@@ -76,15 +67,17 @@
 	t.settings = settings
 }
 
+// setVersionLocked adds a version, or changes the quality and length of the answers of one that is known. Whether a known
+// version is loaded is left to commands.
 func (t *stateTable) setVersionLocked(version api.EngineStandinVersion) {
-	if version.Quality == 0 {
-		version.Quality = defaultQuality
-	}
 	key := versionKey{version.Model, version.Version}
-	if t.versions[key] == nil {
-		t.versions[key] = &versionState{}
+	if state := t.versions[key]; state != nil {
+		state.settings.Quality = cmp.Or(version.Quality, state.settings.Quality)
+		state.settings.Tokens = cmp.Or(version.Tokens, state.settings.Tokens)
+		return
 	}
-	t.versions[key].settings = version
+	version.Quality = cmp.Or(version.Quality, defaultQuality)
+	t.versions[key] = &versionState{settings: version}
 }
 
 // setVersion adds or changes a version, for example to make it bad from now on.
