Record the engine stand-in's load under the queue's lock

The sizes were read under one lock and recorded under another, so a sample could be recorded after a newer one and the load report stayed wrong until the next change.

--- a/internal/standin/engine/completions.go
+++ b/internal/standin/engine/completions.go
@@ -89,7 +89,6 @@
 	})
 	defer stop()
 	s.state.countStarted(done.version.Model, done.version.Version)
-	s.recordLoad()
 	if done.request.Stream {
 		return s.stream(c, done, sequence)
 	}
@@ -114,11 +113,9 @@
 		from:     min(done.from, total),
 		total:    total,
 		tokens:   make(chan int, total),
-		begun:    s.recordLoad,
 		done: func(cancelled bool) {
 			s.queue.ended()
 			s.state.countEnded(cancelled)
-			s.recordLoad()
 		},
 	}
 }
--- a/internal/standin/engine/load.go
+++ b/internal/standin/engine/load.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/cicadawall/cicadawall/internal/api"
-	"github.com/cicadawall/cicadawall/internal/lockorder"
 )
 
 // maxSamples bounds the load history.
@@ -15,30 +14,22 @@
 	running, queued int
 }
 
-// loadTable remembers the recent load, so that reports can lag.
-type loadTable struct {
-	mu      *lockorder.Mutex
-	samples []loadSample
-}
-
-func newLoadTable() *loadTable { return &loadTable{mu: lockorder.New(lockorder.RankStandin)} }
+// loadHistory remembers the recent load, so that reports can lag. It is part of the queue table and guarded by its lock, so
+// that the samples are in the order of the changes.
+type loadHistory struct{ samples []loadSample }
 
-func (t *loadTable) record(running, queued int, now time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.samples = append(t.samples, loadSample{at: now, running: running, queued: queued})
-	if len(t.samples) > maxSamples {
-		t.samples = append([]loadSample(nil), t.samples[len(t.samples)/2:]...)
+func (h *loadHistory) record(running, queued int, now time.Time) {
+	h.samples = append(h.samples, loadSample{at: now, running: running, queued: queued})
+	if len(h.samples) > maxSamples {
+		h.samples = append([]loadSample(nil), h.samples[len(h.samples)/2:]...)
 	}
 }
 
 // at returns the load that held at the given time.
-func (t *loadTable) at(when time.Time) loadSample {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for i := len(t.samples) - 1; i >= 0; i-- {
-		if !t.samples[i].at.After(when) {
-			return t.samples[i]
+func (h *loadHistory) at(when time.Time) loadSample {
+	for i := len(h.samples) - 1; i >= 0; i-- {
+		if !h.samples[i].at.After(when) {
+			return h.samples[i]
 		}
 	}
 	return loadSample{}
@@ -47,7 +38,7 @@
 // load returns the lagging report. Draining and versions are current.
 func (s *Server) load(now time.Time) api.EngineLoad {
 	settings := s.state.getSettings()
-	sample := s.loads.at(now.Add(-time.Duration(settings.LoadLagMillis) * time.Millisecond))
+	sample := s.queue.loadAt(now.Add(-time.Duration(settings.LoadLagMillis) * time.Millisecond))
 	return api.EngineLoad{
 		Running:   sample.running,
 		Queued:    sample.queued,
@@ -58,8 +49,3 @@
 		Versions:  s.state.loadedVersions(now),
 	}
 }
-
-func (s *Server) recordLoad() {
-	running, queued := s.queue.sizes()
-	s.loads.record(running, queued, time.Now())
-}
--- a/internal/standin/engine/queue.go
+++ b/internal/standin/engine/queue.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sort"
+	"time"
 
 	"github.com/cicadawall/cicadawall/internal/lockorder"
 	"github.com/cicadawall/cicadawall/internal/worker"
@@ -19,6 +20,7 @@
 	mu      *lockorder.Mutex
 	waiting []*sequence
 	running int
+	history loadHistory
 }
 
 func newQueueTable(limit int) *queueTable {
@@ -36,6 +38,7 @@
 	t.waiting = append(t.waiting, nil)
 	copy(t.waiting[at+1:], t.waiting[at:])
 	t.waiting[at] = s
+	t.recordLocked()
 	// A full channel holds enough tokens for every waiting sequence.
 	select {
 	case t.ready <- struct{}{}:
@@ -67,6 +70,7 @@
 	s := t.waiting[0]
 	t.waiting = t.waiting[1:]
 	t.running++
+	t.recordLocked()
 	return s
 }
 
@@ -79,6 +83,7 @@
 		return false
 	}
 	t.waiting = slices.Delete(t.waiting, at, at+1)
+	t.recordLocked()
 	return true
 }
 
@@ -87,11 +92,14 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.running--
+	t.recordLocked()
 }
 
-// sizes returns the numbers of running and waiting sequences.
-func (t *queueTable) sizes() (running, waiting int) {
+func (t *queueTable) recordLocked() { t.history.record(t.running, len(t.waiting), time.Now()) }
+
+// loadAt returns the load that held at the given time.
+func (t *queueTable) loadAt(when time.Time) loadSample {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.running, len(t.waiting)
+	return t.history.at(when)
 }
--- a/internal/standin/engine/sequence.go
+++ b/internal/standin/engine/sequence.go
@@ -20,8 +20,6 @@
 	// tokens receives the index of each token when it is done and is closed at the end. It holds a whole answer, so that a
 	// slow reader does not stop the batch.
 	tokens chan int
-	// begun is called once when a worker takes the sequence.
-	begun func()
 	// done is called once when the worker lets go of the sequence.
 	done func(cancelled bool)
 }
@@ -33,7 +31,6 @@
 	stop := context.AfterFunc(s.ctx, cancel)
 	defer stop()
 	defer close(s.tokens)
-	s.begun()
 	start := time.Now().Add(s.prefill)
 	common.Wait(ctx, s.prefill)
 	for index := s.from; index < s.total && ctx.Err() == nil; index++ {
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -34,7 +34,6 @@
 	cache    *cacheTable
 	queue    *queueTable
 	registry *registryTable
-	loads    *loadTable
 	pool     *worker.Pool
 }
 
@@ -53,7 +52,6 @@
 		cache:    cache,
 		queue:    newQueueTable(settings.Queue),
 		registry: newRegistryTable(),
-		loads:    newLoadTable(),
 	}
 	s.pool = worker.NewPool(settings.Batch, s.queue)
 	s.routes()
