--- a/internal/httpsend/sender.go
+++ b/internal/httpsend/sender.go
@@ -31,7 +31,7 @@
 	// FreshConnections uses a new connection for each request, so that no request meets a connection that the server is
 	// about to close.
 	FreshConnections bool
-	// TLS is the client configuration for https; nil takes the library's.
+	// TLS configures https; nil means the system's roots.
 	TLS *tls.Config
 }
 
@@ -78,8 +78,9 @@
 		MaxIdleConnsPerHost:    options.MaxConnsPerHost,
 		IdleConnTimeout:        options.IdleTimeout,
 		DisableKeepAlives:      options.FreshConnections,
-		DisableCompression:     true,
 		TLSClientConfig:        options.TLS,
+		TLSHandshakeTimeout:    options.DialTimeout,
+		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}}
 }
