Add organisation limits without a central counter

An instance without a share uses limit/n; allocators keep that much back for every registered instance they do not hear from.

--- a/internal/api/peer.gen.go
+++ b/internal/api/peer.gen.go
@@ -73,12 +73,41 @@
 	Version      string `json:"version,omitempty" yaml:"version,omitempty"`
 }
 
-// Demand defines model for Demand.
+// Demand What callers of one organisation ask of one instance, and what the instance may use at the moment.
 type Demand struct {
-	CostPerDay        float64 `json:"costPerDay" yaml:"costPerDay"`
-	Organisation      string  `json:"organisation" yaml:"organisation"`
+	// AcknowledgedSpent Part of spent that an allocator has counted in knownSpent.
+	AcknowledgedSpent float64 `json:"acknowledgedSpent" yaml:"acknowledgedSpent"`
+
+	// CostPerSecond Cost units spent per second.
+	CostPerSecond float64 `json:"costPerSecond" yaml:"costPerSecond"`
+
+	// Day Days since 1970-01-01 UTC for which the cost figures hold.
+	Day int64 `json:"day" yaml:"day"`
+
+	// HeldCost Cost units that the sender may still spend under its grant.
+	HeldCost float64 `json:"heldCost" yaml:"heldCost"`
+
+	// HeldRequestsPerSecond Requests per second that the sender uses at most at the moment.
+	HeldRequestsPerSecond float64 `json:"heldRequestsPerSecond" yaml:"heldRequestsPerSecond"`
+
+	// HeldTokensPerSecond Tokens per second that the sender uses at most at the moment.
+	HeldTokensPerSecond float64 `json:"heldTokensPerSecond" yaml:"heldTokensPerSecond"`
+
+	// Holds Whether the sender holds a grant that has not expired. Without one it uses an equal part of the limit.
+	Holds bool `json:"holds" yaml:"holds"`
+
+	// KnownSpent Cost units of the organisation on this day over all instances as last heard from an allocator.
+	KnownSpent   float64 `json:"knownSpent" yaml:"knownSpent"`
+	Organisation string  `json:"organisation" yaml:"organisation"`
+
+	// RequestsPerSecond Requests asked for, refused ones included.
 	RequestsPerSecond float64 `json:"requestsPerSecond" yaml:"requestsPerSecond"`
-	TokensPerSecond   float64 `json:"tokensPerSecond" yaml:"tokensPerSecond"`
+
+	// Spent Cost units that the sender spent on this day.
+	Spent float64 `json:"spent" yaml:"spent"`
+
+	// TokensPerSecond Tokens asked for, refused ones included.
+	TokensPerSecond float64 `json:"tokensPerSecond" yaml:"tokensPerSecond"`
 }
 
 // DemandReport defines model for DemandReport.
@@ -145,11 +174,23 @@
 
 // LimitGrant defines model for LimitGrant.
 type LimitGrant struct {
-	CostPerDay        float64 `json:"costPerDay" yaml:"costPerDay"`
+	// AcknowledgedSpent The receiver's spent figure that totalSpent contains.
+	AcknowledgedSpent float64 `json:"acknowledgedSpent" yaml:"acknowledgedSpent"`
+
+	// Cost Cost units that may be spent under this grant.
+	Cost float64 `json:"cost" yaml:"cost"`
+
+	// Day Days since 1970-01-01 UTC for which the cost figures hold.
+	Day               int64   `json:"day" yaml:"day"`
 	Organisation      string  `json:"organisation" yaml:"organisation"`
 	RequestsPerSecond float64 `json:"requestsPerSecond" yaml:"requestsPerSecond"`
 	TokensPerSecond   float64 `json:"tokensPerSecond" yaml:"tokensPerSecond"`
-	ValidMillis       int64   `json:"validMillis" yaml:"validMillis"`
+
+	// TotalSpent Cost units of the organisation on this day over all instances.
+	TotalSpent float64 `json:"totalSpent" yaml:"totalSpent"`
+
+	// ValidMillis Validity in milliseconds from the start of the report.
+	ValidMillis int64 `json:"validMillis" yaml:"validMillis"`
 }
 
 // LimitGrants defines model for LimitGrants.
--- /dev/null
+++ b/internal/limit/limit_test.go
@@ -0,0 +1,136 @@
+package limit
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/cicadawall/cicadawall/internal/api"
+	"github.com/cicadawall/cicadawall/internal/fault"
+)
+
+var start = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+func fixed(l Limits) LimitsOf { return func(string) Limits { return l } }
+
+// admitted returns how many of n requests are admitted at once.
+func admitted(l *Local, limits Limits, need Need, n int, now time.Time) int {
+	count := 0
+	for range n {
+		if l.Admit("o", limits, need, now) == nil {
+			count++
+		}
+	}
+	return count
+}
+
+// Guards against an instance that uses part of a limit before the others can know of it, or none after a silence.
+func TestWithoutGrant(t *testing.T) {
+	limits := Limits{Rates: Rates{Requests: 60}}
+	l := NewLocal("a", start)
+	l.SetInstances(6)
+	if n := admitted(l, limits, Need{}, 10, start.Add(Validity/2)); n != 0 {
+		t.Errorf("%d requests admitted before the first grant", n)
+	}
+	later := start.Add(Validity)
+	admitted(l, limits, Need{}, 1, later)
+	if n := admitted(l, limits, Need{}, 100, later.Add(10*time.Second)); n != 10 {
+		t.Errorf("%d requests admitted without a grant, want one second of a sixth of the limit", n)
+	}
+	refused := l.Admit("o", limits, Need{}, later.Add(10*time.Second))
+	if refused == nil || refused.Code != fault.CodeLimitExceeded || refused.Outcome != api.OutcomeNotRun || refused.RetryAfter <= 0 {
+		t.Errorf("%v, want limit_exceeded with a wait", refused)
+	}
+}
+
+// Guards against a grant that is used after its end, or one that a late reply puts in force.
+func TestGrantEnds(t *testing.T) {
+	limits := Limits{Rates: Rates{Requests: 60}}
+	l := NewLocal("a", start)
+	l.SetInstances(6)
+	l.Report([]string{"o"}, fixed(limits), start)
+	grants := api.LimitGrants{Grants: []api.LimitGrant{{Organisation: "o", RequestsPerSecond: 50, ValidMillis: 60_000}}}
+	held := func(now time.Time) float64 {
+		return l.Report([]string{"o"}, fixed(limits), now).Demands[0].HeldRequestsPerSecond
+	}
+	l.Apply(grants, start, start.Add(time.Second))
+	if got := held(start.Add(Validity - 1)); got != 50 {
+		t.Errorf("%g requests/s under the grant, want 50", got)
+	}
+	if got := held(start.Add(Validity)); got != 10 {
+		t.Errorf("%g requests/s after the grant, want 10", got)
+	}
+	l.Apply(grants, start, start.Add(Validity))
+	if got := held(start.Add(Validity)); got != 10 {
+		t.Errorf("%g requests/s after a late reply, want 10", got)
+	}
+}
+
+// Guards against real use that is not charged when it differs from the estimate.
+func TestSettle(t *testing.T) {
+	limits := Limits{Rates: Rates{Tokens: 1000}, CostPerDay: 100}
+	l := NewLocal("a", start)
+	now := start.Add(Validity)
+	l.Admit("o", limits, Need{}, now)
+	now = now.Add(10 * time.Second)
+	if n := admitted(l, limits, Need{Tokens: 100, Cost: 1}, 1, now); n != 1 {
+		t.Fatal("first request refused")
+	}
+	l.Settle("o", Need{Tokens: 1900, Cost: 20}, now)
+	if n := admitted(l, limits, Need{Tokens: 100}, 1, now.Add(time.Second)); n != 0 {
+		t.Error("admitted while the bucket is in debt")
+	}
+	if n := admitted(l, limits, Need{Tokens: 100}, 1, now.Add(1200*time.Millisecond)); n != 1 {
+		t.Error("refused after the debt was paid")
+	}
+	if got := l.Report([]string{"o"}, fixed(limits), now).Demands[0].Spent; got != 21 {
+		t.Errorf("spent %g, want 21", got)
+	}
+}
+
+type transport struct {
+	dead  string
+	asked []string
+}
+
+func (t *transport) ReportDemand(_ context.Context, to string, report api.DemandReport) (api.LimitGrants, error) {
+	t.asked = append(t.asked, to)
+	if to == t.dead {
+		return api.LimitGrants{}, errors.New("connection refused")
+	}
+	grant := api.LimitGrant{Organisation: report.Demands[0].Organisation, RequestsPerSecond: 7, ValidMillis: 3000}
+	return api.LimitGrants{Grants: []api.LimitGrant{grant}}, nil
+}
+
+// Guards against limits that stay at limit/n while the allocator of an organisation is dead.
+func TestReporterTriesNext(t *testing.T) {
+	members := []string{"a", "b", "c"}
+	organisation := ""
+	for i := 0; organisation == ""; i++ {
+		name := fmt.Sprint("o", i)
+		first := Owner(name, members, func(string) bool { return false })
+		second := Owner(name, members, func(m string) bool { return m == first })
+		if first == "b" && second == "c" {
+			organisation = name
+		}
+	}
+	limits := fixed(Limits{Rates: Rates{Requests: 60}})
+	net := &transport{dead: "b"}
+	local := NewLocal("a", time.Now())
+	view := func() View { return View{Members: members, Limited: []string{organisation}, Limits: limits} }
+	r := NewReporter("a", local, NewAllocator(), net, view)
+	for range 2 {
+		if err := r.Run(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got := fmt.Sprint(net.asked); got != "[b c c]" {
+		t.Errorf("asked %s, want [b c c]", got)
+	}
+	if got := local.Report([]string{organisation}, limits, time.Now()).Demands[0].HeldRequestsPerSecond; got != 7 {
+		t.Errorf("holds %g requests/s, want the grant of 7", got)
+	}
+}
