--- a/internal/access/tls_test.go
+++ b/internal/access/tls_test.go
@@ -109,18 +109,26 @@
 // handshake returns the serial number that the client saw, or the first error of either side.
 func handshake(t *testing.T, server, client *tls.Config) (int64, error) {
 	t.Helper()
-	left, right := net.Pipe()
-	defer left.Close()
-	defer right.Close()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
 	failed := make(chan error, 1)
 	go func() {
-		s := tls.Server(left, server)
-		err := s.Handshake()
+		left, err := listener.Accept()
 		if err != nil {
-			left.Close()
+			failed <- err
+			return
 		}
-		failed <- err
+		defer left.Close()
+		failed <- tls.Server(left, server).Handshake()
 	}()
+	right, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer right.Close()
 	c := tls.Client(right, client)
 	clientErr := c.Handshake()
 	if clientErr != nil {
--- a/internal/limit/allocator.go
+++ b/internal/limit/allocator.go
@@ -117,7 +117,7 @@
 func (acc *account) learn(now time.Time) {
 	acc.learnUntil = now.Add(Validity)
 	for _, m := range acc.members {
-		m.counted = false
+		*m = member{spent: m.spent}
 	}
 }
 
--- a/internal/limit/cost.go
+++ b/internal/limit/cost.go
@@ -57,7 +57,11 @@
 		switch {
 		case other == id:
 		case m.heard.IsZero():
-			used += alone
+			// Fixed at the first look: it must not shrink while the instances that are heard spend.
+			if m.costAlone == 0 {
+				m.costAlone = alone
+			}
+			used += m.costAlone
 		case now.Sub(m.heard) > lateAfter:
 			used += max(m.costUse, m.costAlone)
 		default:
