--- /dev/null
+++ b/internal/cli/config_test.go
@@ -0,0 +1,141 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/alexflint/go-arg"
+	"github.com/labstack/echo/v4"
+
+	"github.com/cicadawall/cicadawall/internal/api"
+	"github.com/cicadawall/cicadawall/internal/server/operatorhttp"
+)
+
+const (
+	key   = "operator-secret"
+	first = "models: [{name: m, versions: [{name: v1, inputCost: 1, outputCost: 1}]}]\nclasses: []\norganisations: []\n"
+)
+
+// fakeConfiguration answers apply with a fixed response.
+type fakeConfiguration struct {
+	response api.ApplyResponse
+	got      api.ApplyRequest
+}
+
+func (f *fakeConfiguration) Apply(_ context.Context, req api.ApplyRequest) api.ApplyResponse {
+	f.got = req
+	return f.response
+}
+
+func (f *fakeConfiguration) Show() (api.ConfigDocument, bool) {
+	return api.ConfigDocument{Revision: 7, ChangeID: "c7", Author: "ada", Document: first}, true
+}
+
+func (f *fakeConfiguration) Status() api.ConfigStatus {
+	return api.ConfigStatus{Revision: 7, Instances: []api.InstanceRevision{{Name: "entry-1", Revision: 6, AgeMillis: -1}}}
+}
+
+func serve(t *testing.T, fake *fakeConfiguration) string {
+	t.Helper()
+	sum := sha256.Sum256([]byte(key))
+	e := echo.New()
+	group := e.Group("", operatorhttp.Authenticate([]string{strings.Repeat("00", 32), hex.EncodeToString(sum[:])}))
+	operatorhttp.Handlers{Configuration: fake}.Register(group)
+	server := httptest.NewServer(e)
+	t.Cleanup(server.Close)
+	return server.URL
+}
+
+func run(t *testing.T, args ...string) (code int, out, errOut string) {
+	t.Helper()
+	var command ConfigCommand
+	parser, err := arg.NewParser(arg.Config{Program: "cicadawall config", IgnoreEnv: true}, &command)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := parser.Parse(args); err != nil {
+		t.Fatal(err)
+	}
+	var stdout, stderr bytes.Buffer
+	code = command.Run(t.Context(), &stdout, &stderr)
+	return code, stdout.String(), stderr.String()
+}
+
+func file(t *testing.T, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "d.yaml")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// Guards against a script that takes a refused or pending change for an accepted one.
+func TestApplyExitCodes(t *testing.T) {
+	cases := []struct {
+		response api.ApplyResponse
+		exit     int
+		shown    string
+	}{
+		{api.ApplyResponse{State: api.ApplyAccepted, Revision: 8}, ExitDone, "accepted: revision 8"},
+		{api.ApplyResponse{State: api.ApplyValid, Revision: 7}, ExitDone, "valid"},
+		{api.ApplyResponse{State: api.ApplyInvalid, Problems: []api.Problem{{Line: 3, Field: "f", Message: "bad"}}}, ExitInvalid, "d.yaml:3:0: f: bad"},
+		{api.ApplyResponse{State: api.ApplyConflict, ConflictRevision: 8, ConflictChangeID: "c8", ConflictAuthor: "bob"}, ExitConflict, "change c8 by bob"},
+		{api.ApplyResponse{State: api.ApplyPending, Revision: 8, NotInForce: []string{"entry-3"}}, ExitPending, "entry-3"},
+		{api.ApplyResponse{State: api.ApplyUnknown, Revision: 8}, ExitUnknown, "--base 7 --change-id"},
+		{api.ApplyResponse{State: api.ApplyUnavailable}, ExitUnknown, "--base 7 --change-id"},
+	}
+	for _, c := range cases {
+		fake := &fakeConfiguration{response: c.response}
+		url := serve(t, fake)
+		code, out, errOut := run(t, "apply", "--operator-url", url, "--operator-key", key, "--author", "ada", file(t, first))
+		if code != c.exit || !strings.Contains(out+errOut, c.shown) {
+			t.Errorf("%s: exit %d, printed %q %q", c.response.State, code, out, errOut)
+		}
+		if fake.got.BaseRevision != 7 || fake.got.ChangeID == "" || fake.got.Author != "ada" || fake.got.Document != first {
+			t.Errorf("request: %+v", fake.got)
+		}
+	}
+}
+
+// Guards against an operator API that answers without the key, and an unreachable one that looks like success.
+func TestRefusedAndUnreachable(t *testing.T) {
+	url := serve(t, &fakeConfiguration{})
+	if code, _, errOut := run(t, "show", "--operator-url", url, "--operator-key", "wrong"); code != ExitInvalid || !strings.Contains(errOut, "operator key") {
+		t.Errorf("wrong key: exit %d, %q", code, errOut)
+	}
+	if code, _, _ := run(t, "status", "--operator-url", "http://127.0.0.1:1"); code != ExitUnknown {
+		t.Errorf("unreachable: exit %d", code)
+	}
+}
+
+// Guards against commands that lose their result.
+func TestReadCommands(t *testing.T) {
+	url := serve(t, &fakeConfiguration{})
+	flags := []string{"--operator-url", url, "--operator-key", key}
+	changed := strings.Replace(first, "inputCost: 1", "inputCost: 2", 1)
+	cases := []struct {
+		args  []string
+		exit  int
+		shown string
+	}{
+		{append([]string{"show"}, flags...), ExitDone, "inputCost: 1"},
+		{append([]string{"status"}, flags...), ExitDone, "never heard"},
+		{append([]string{"diff", file(t, changed)}, flags...), ExitDone, "~ model m version v1 inputCost: 1 -> 2"},
+		{[]string{"diff", "--against", file(t, first), "--json", file(t, changed)}, ExitDone, `"kind": "changed"`},
+		{[]string{"validate", file(t, first)}, ExitDone, "is valid"},
+		{[]string{"validate", file(t, "models: 1\n")}, ExitInvalid, "d.yaml:1:9: models: must be a list"},
+	}
+	for _, c := range cases {
+		if code, out, errOut := run(t, c.args...); code != c.exit || !strings.Contains(out+errOut, c.shown) {
+			t.Errorf("%v: exit %d, printed %q %q", c.args, code, out, errOut)
+		}
+	}
+}
