--- a/internal/configsync/cluster_test.go
+++ b/internal/configsync/cluster_test.go
@@ -22,6 +22,9 @@
 
 const bound = 6 * time.Second
 
+// startGap separates the starts of instances, so that their polls do not coincide.
+const startGap = 137 * time.Millisecond
+
 // cluster is a set of instances with real duties on an in-memory store and transport; run it in a synctest bubble.
 type cluster struct {
 	t       *testing.T
@@ -56,6 +59,7 @@
 	c := &cluster{t: t, table: memory.NewTable(), objects: memory.NewObjects(), list: &memory.Instances{}}
 	for range n {
 		c.start(0)
+		c.wait(startGap)
 	}
 	return c
 }
--- a/internal/table/peers.go
+++ b/internal/table/peers.go
@@ -1,7 +1,8 @@
 package table
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/cicadawall/cicadawall/internal/api"
@@ -30,7 +31,9 @@
 type Peers struct {
 	mu   *lockorder.RWMutex
 	rows map[int64]*Peer
-	last int64
+	// order holds the rows by sequence.
+	order []*Peer
+	last  int64
 	// self is the own sequence, since the time before the insert of the own row.
 	self     int64
 	since    time.Time
@@ -59,7 +62,7 @@
 			t.endLocked(row)
 			continue
 		}
-		t.rows[row.Sequence] = &Peer{Member: quorum.Member{Sequence: row.Sequence}, Registration: row.Registration}
+		t.addLocked(row.Sequence, row.Registration)
 	}
 	t.ownLocked()
 	t.pruneLocked()
@@ -71,12 +74,23 @@
 	}
 }
 
+// addLocked adds a row in its place, which nearly always is the end.
+func (t *Peers) addLocked(sequence int64, registration api.Registration) *Peer {
+	row := &Peer{Member: quorum.Member{Sequence: sequence}, Registration: registration}
+	t.rows[sequence] = row
+	at, _ := slices.BinarySearchFunc(t.order, sequence, func(p *Peer, s int64) int { return cmp.Compare(p.Sequence, s) })
+	t.order = slices.Insert(t.order, at, row)
+	return row
+}
+
 func (t *Peers) pruneLocked() {
-	for sequence, peer := range t.rows {
-		if peer.Left != 0 && peer.Left < t.last-keptSequences {
-			delete(t.rows, sequence)
+	t.order = slices.DeleteFunc(t.order, func(peer *Peer) bool {
+		old := peer.Left != 0 && peer.Left < t.last-keptSequences
+		if old {
+			delete(t.rows, peer.Sequence)
 		}
-	}
+		return old
+	})
 }
 
 // Adopt takes the registrations of a peer that knows more of the log. Its set must start where this table ends.
@@ -89,8 +103,7 @@
 	for _, entry := range set.Instances {
 		row, known := t.rows[entry.Sequence]
 		if !known {
-			row = &Peer{Member: quorum.Member{Sequence: entry.Sequence}, Registration: entry.Registration}
-			t.rows[entry.Sequence] = row
+			row = t.addLocked(entry.Sequence, entry.Registration)
 		}
 		if row.Left == 0 {
 			row.Left = entry.LeftSequence
@@ -106,7 +119,7 @@
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 	set := api.RegistrationSet{LastSequence: t.last, Instances: []api.RegisteredInstance{}}
-	for _, peer := range t.sortedLocked() {
+	for _, peer := range t.order {
 		if peer.Sequence > after || peer.Left > after {
 			set.Instances = append(set.Instances, api.RegisteredInstance{
 				Sequence: peer.Sequence, LeftSequence: peer.Left, Registration: peer.Registration,
@@ -195,9 +208,9 @@
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 	var out []Peer
-	for _, peer := range t.sortedLocked() {
+	for _, peer := range t.order {
 		if peer.Sequence <= sequence && (peer.Left == 0 || peer.Left > sequence) {
-			out = append(out, peer)
+			out = append(out, *peer)
 		}
 	}
 	return out
@@ -211,7 +224,7 @@
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 	view := quorum.View{Self: t.self, Last: t.last}
-	for _, peer := range t.sortedLocked() {
+	for _, peer := range t.order {
 		if peer.Left == 0 {
 			view.Members = append(view.Members, peer.Member)
 		}
@@ -219,15 +232,6 @@
 	return view
 }
 
-func (t *Peers) sortedLocked() []Peer {
-	out := make([]Peer, 0, len(t.rows))
-	for _, peer := range t.rows {
-		out = append(out, *peer)
-	}
-	sort.Slice(out, func(i, j int) bool { return out[i].Sequence < out[j].Sequence })
-	return out
-}
-
 // Majority returns the rule by which an instance without a fresh confirmation may serve.
 func (t *Peers) Majority(bound time.Duration) Majority {
 	return func(revision int64, now time.Time) bool { return t.View().Supports(revision, bound, now) }
