Group the exceptions of a digest by report

While a change spreads, about half of the instances differ from the sender. Instances with the same report now share one entry with a bitmap.

--- a/internal/api/peer.gen.go
+++ b/internal/api/peer.gen.go
@@ -95,7 +95,7 @@
 	// ConfirmedAgeMillis Age in milliseconds of the sender's last store confirmation; -1 if none.
 	ConfirmedAgeMillis int64 `json:"confirmedAgeMillis" yaml:"confirmedAgeMillis"`
 
-	// Exceptions Instances whose revision or known sequence differs from the sender's.
+	// Exceptions Groups of instances whose revision or known sequence differs from the sender's.
 	Exceptions    []RevisionException `json:"exceptions" yaml:"exceptions"`
 	FirstSequence int64               `json:"firstSequence" yaml:"firstSequence"`
 	Incarnation   string              `json:"incarnation" yaml:"incarnation"`
@@ -217,12 +217,14 @@
 	Revision int64          `json:"revision" yaml:"revision"`
 }
 
-// RevisionException defines model for RevisionException.
+// RevisionException A group of registered instances with the same revision and known sequence.
 type RevisionException struct {
-	// LastSequence Highest registration sequence that this instance was heard to know.
+	// LastSequence Highest registration sequence that these instances were heard to know.
 	LastSequence int64 `json:"lastSequence" yaml:"lastSequence"`
-	Revision     int64 `json:"revision" yaml:"revision"`
-	Sequence     int64 `json:"sequence" yaml:"sequence"`
+
+	// Members Bitmap over the ages; bit 0 of the first byte stands for the first instance.
+	Members  []byte `json:"members" yaml:"members"`
+	Revision int64  `json:"revision" yaml:"revision"`
 }
 
 // RevisionRecord Value of a configuration revision row.
--- a/internal/membership/digest.go
+++ b/internal/membership/digest.go
@@ -35,21 +35,54 @@
 			digest.Revision = row.Revision
 		}
 	}
+	groups := grouping{index: map[report]int{}, size: (len(rows) + 7) / 8}
 	for i, row := range rows {
-		if i == 0 {
-			digest.FirstSequence = row.Sequence
-		}
 		age := encodeAge(row, self, now)
 		digest.Ages = append(digest.Ages, age)
 		if age != ageNever && (row.Revision != digest.Revision || row.Known != last) {
-			digest.Exceptions = append(digest.Exceptions, api.RevisionException{
-				Sequence: row.Sequence, Revision: row.Revision, LastSequence: row.Known,
-			})
+			groups.add(i, report{revision: row.Revision, known: row.Known})
 		}
 	}
+	if len(rows) > 0 {
+		digest.FirstSequence = rows[0].Sequence
+	}
+	digest.Exceptions = append(digest.Exceptions, groups.exceptions...)
 	return digest
 }
 
+// report is what an instance said of itself.
+type report struct{ revision, known int64 }
+
+// grouping collects the instances with the same report. While a change spreads there are few different reports but many
+// instances that differ from the sender.
+type grouping struct {
+	index      map[report]int
+	size       int
+	exceptions []api.RevisionException
+}
+
+func (g *grouping) add(i int, r report) {
+	at, known := g.index[r]
+	if !known {
+		at = len(g.exceptions)
+		g.index[r] = at
+		g.exceptions = append(g.exceptions, api.RevisionException{
+			Revision: r.revision, LastSequence: r.known, Members: make([]byte, g.size),
+		})
+	}
+	g.exceptions[at].Members[i/8] |= 1 << (i % 8)
+}
+
+// reportOf returns the report of the i-th instance of a digest.
+func reportOf(digest api.Digest, i int) report {
+	for _, group := range digest.Exceptions {
+		if i/8 < len(group.Members) && group.Members[i/8]&(1<<(i%8)) != 0 {
+			return report{revision: group.Revision, known: group.LastSequence}
+		}
+	}
+	return report{revision: digest.Revision, known: digest.LastSequence}
+}
+
 // encodeAge rounds up, so that a report never seems more recent than it is.
 func encodeAge(row table.Peer, self int64, now time.Time) byte {
 	if row.Sequence == self {
@@ -81,21 +114,14 @@
 	if len(rows) == 0 || rows[0].Sequence != digest.FirstSequence {
 		return newest
 	}
-	exceptions := map[int64]api.RevisionException{}
-	for _, exception := range digest.Exceptions {
-		exceptions[exception.Sequence] = exception
-	}
 	for i, row := range rows {
 		if digest.Ages[i] == ageNever {
 			continue
 		}
-		report := api.RevisionException{Revision: digest.Revision, LastSequence: digest.LastSequence}
-		if exception, ok := exceptions[row.Sequence]; ok {
-			report = exception
-		}
+		said := reportOf(digest, i)
 		heard := start.Add(-time.Duration(digest.Ages[i]) * ageUnit)
-		peers.Observe(row.Sequence, report.Revision, report.LastSequence, heard)
-		newest = max(newest, report.Revision)
+		peers.Observe(row.Sequence, said.revision, said.known, heard)
+		newest = max(newest, said.revision)
 	}
 	return newest
 }
