--- a/internal/configsync/syncer.go
+++ b/internal/configsync/syncer.go
@@ -73,7 +73,7 @@
 // Duties returns the periodic duties of the syncer.
 func (s *Syncer) Duties() []worker.Duty {
 	interval := func() time.Duration {
-		return membership.PollInterval(len(s.opts.Peers.Live()), s.opts.PollInterval)
+		return membership.PollInterval(s.opts.Peers.Count(), s.opts.PollInterval)
 	}
 	return []worker.Duty{
 		{Name: DutyPoll, Interval: interval, Timeout: dutyTimeout, Run: s.PollOrColdStart},
--- a/internal/membership/register.go
+++ b/internal/membership/register.go
@@ -20,6 +20,9 @@
 
 // Register appends this instance to the registration log and waits, until the context ends, for a certain result.
 func (s *Service) Register(ctx context.Context) error {
+	if s.opts.Peers.Last() == 0 {
+		s.loadCheckpoint(ctx)
+	}
 	if err := s.Follow(ctx); err != nil {
 		return notRegistered(err)
 	}
@@ -29,7 +32,11 @@
 		return notRegistered(err)
 	}
 	s.opts.Peers.SetSelf(sequence, start)
-	return s.Follow(ctx)
+	if err := s.Follow(ctx); err != nil {
+		return err
+	}
+	s.saveCheckpoint(ctx)
+	return nil
 }
 
 // Deregister ends this instance's registration. An instance that is not registered has nothing to end.
--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -105,7 +105,7 @@
 
 // registrationInterval spreads the polls of all instances over the planned reads.
 func (s *Service) registrationInterval() time.Duration {
-	return PollInterval(len(s.opts.Peers.Live()), time.Second)
+	return PollInterval(s.opts.Peers.Count(), time.Second)
 }
 
 // PollInterval returns the interval at which each of n instances may read the store within the planned rate.
@@ -124,6 +124,9 @@
 // Poll reads new rows of the registration log, and registers this instance if it is not registered. It must not run
 // beside itself or Register.
 func (s *Service) Poll(ctx context.Context) error {
+	if s.opts.Peers.Last() == 0 {
+		s.loadCheckpoint(ctx)
+	}
 	if err := s.Follow(ctx); err != nil {
 		return err
 	}
--- a/internal/membership/service_test.go
+++ b/internal/membership/service_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
@@ -12,6 +13,7 @@
 	"time"
 
 	"github.com/cicadawall/cicadawall/internal/api"
+	"github.com/cicadawall/cicadawall/internal/platform"
 	"github.com/cicadawall/cicadawall/internal/platform/memory"
 	"github.com/cicadawall/cicadawall/internal/table"
 )
@@ -121,7 +123,9 @@
 			t.Fatal("registered without a readable store")
 		}
 		out.Store(false)
-		if err := s.Poll(t.Context()); err != nil {
+		ctx, cancel = context.WithTimeout(t.Context(), 3*time.Second)
+		defer cancel()
+		if err := s.Poll(ctx); err != nil {
 			t.Fatal(err)
 		}
 		if sequence, ok := s.opts.Peers.Self(); !ok || sequence != 1 || s.opts.Peers.Last() != 1 {
@@ -225,3 +229,42 @@
 		t.Errorf("reports revision %d after a read", digest.Revision)
 	}
 }
+
+// Guards against a start whose reads grow with the age of the registration log, and against a checkpoint that loses or
+// revives a registration.
+func TestStartReadsCheckpoint(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.NewTable()
+		staying := newService(store, "staying", nil)
+		if err := staying.Register(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		const restarts = 1600
+		for i := range restarts {
+			registration := api.Registration{Incarnation: fmt.Sprint("restarted-", i)}
+			sequence := int64(2*i + 2)
+			for _, row := range []api.Registration{registration, ending(registration, sequence)} {
+				value, _ := json.Marshal(row)
+				if _, err := staying.opts.Table.Put(t.Context(), Key(sequence), value, platform.IfAbsent()); err != nil {
+					t.Fatal(err)
+				}
+				sequence++
+			}
+		}
+		if err := newService(store, "writer", nil).Register(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		late := newService(store, "late", nil)
+		_, before := store.Counts()
+		if err := late.Register(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		_, after := store.Counts()
+		if reads := after - before; reads > 6 {
+			t.Errorf("a start read %d times", reads)
+		}
+		if live := late.opts.Peers.Live(); len(live) != 3 || live[0].Registration.Name != "staying" || late.opts.Peers.Last() != 2*restarts+3 {
+			t.Errorf("%d registered, last %d", len(live), late.opts.Peers.Last())
+		}
+	})
+}
--- a/internal/table/peers.go
+++ b/internal/table/peers.go
@@ -219,6 +219,19 @@
 // Live returns the registered instances in order of sequence.
 func (t *Peers) Live() []Peer { return t.At(t.Last()) }
 
+// Count returns the number of registered instances.
+func (t *Peers) Count() int {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	count := 0
+	for _, peer := range t.order {
+		if peer.Left == 0 {
+			count++
+		}
+	}
+	return count
+}
+
 // View returns the table as the quorum rules read it.
 func (t *Peers) View() quorum.View {
 	t.mu.RLock()
