Keep a leaving instance from registering again

The registration duty may run once more after the deregistration at a planned stop; it then registered the instance anew, and the entry stayed until its absence from the platform's list was noticed.

--- a/internal/membership/register.go
+++ b/internal/membership/register.go
@@ -39,8 +39,9 @@
 	return nil
 }
 
-// Deregister ends this instance's registration. An instance that is not registered has nothing to end.
+// Deregister ends this instance's registration for good. An instance that is not registered has nothing to end.
 func (s *Service) Deregister(ctx context.Context) error {
+	s.leaving.Store(true)
 	self, registered := s.opts.Peers.Self()
 	if !registered {
 		return nil
--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -87,6 +88,7 @@
 	opts    Options
 	random  *random
 	absence *absence
+	leaving atomic.Bool
 }
 
 // New returns a service; Register starts its membership.
@@ -121,7 +123,7 @@
 // Registrations returns the registrations known after a sequence.
 func (s *Service) Registrations(after int64) api.RegistrationSet { return s.opts.Peers.Since(after) }
 
-// Poll reads new rows of the registration log, and registers this instance if it is not registered. It must not run
+// Poll reads new rows of the registration log, and registers this instance if it is neither registered nor leaving. It must not run
 // beside itself or Register.
 func (s *Service) Poll(ctx context.Context) error {
 	if s.opts.Peers.Last() == 0 {
@@ -130,7 +132,7 @@
 	if err := s.Follow(ctx); err != nil {
 		return err
 	}
-	if _, registered := s.opts.Peers.Self(); registered || s.claimOwnRow() {
+	if _, registered := s.opts.Peers.Self(); registered || s.leaving.Load() || s.claimOwnRow() {
 		return nil
 	}
 	return s.Register(ctx)
--- a/internal/membership/service_test.go
+++ b/internal/membership/service_test.go
@@ -134,7 +134,7 @@
 	})
 }
 
-// Guards against an ended registration that stays, and against ending one while the configuration is not confirmed.
+// Guards against an ended registration that stays or comes back by the next poll, and against ending one while the configuration is not confirmed.
 func TestDeregister(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := memory.NewTable()
@@ -155,6 +155,9 @@
 		if err := staying.Poll(t.Context()); err != nil || len(staying.opts.Peers.Live()) != 1 {
 			t.Errorf("with confirmation: %v, %d live", err, len(staying.opts.Peers.Live()))
 		}
+		if err := leaving.Poll(t.Context()); err != nil || len(leaving.opts.Peers.Live()) != 1 {
+			t.Errorf("poll of the leaving instance: %v, %d live", err, len(leaving.opts.Peers.Live()))
+		}
 	})
 }
 
