--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -87,6 +88,7 @@
 	opts    Options
 	random  *random
 	absence *absence
+	leaving atomic.Bool
 }
 
 // New returns a service; Register starts its membership.
@@ -105,7 +107,7 @@
 
 // registrationInterval spreads the polls of all instances over the planned reads.
 func (s *Service) registrationInterval() time.Duration {
-	return PollInterval(len(s.opts.Peers.Live()), time.Second)
+	return PollInterval(s.opts.Peers.Count(), time.Second)
 }
 
 // PollInterval returns the interval at which each of n instances may read the store within the planned rate.
@@ -121,13 +123,16 @@
 // Registrations returns the registrations known after a sequence.
 func (s *Service) Registrations(after int64) api.RegistrationSet { return s.opts.Peers.Since(after) }
 
-// Poll reads new rows of the registration log, and registers this instance if it is not registered. It must not run
+// Poll reads new rows of the registration log, and registers this instance if it is neither registered nor leaving. It must not run
 // beside itself or Register.
 func (s *Service) Poll(ctx context.Context) error {
+	if s.opts.Peers.Last() == 0 {
+		s.loadCheckpoint(ctx)
+	}
 	if err := s.Follow(ctx); err != nil {
 		return err
 	}
-	if _, registered := s.opts.Peers.Self(); registered || s.claimOwnRow() {
+	if _, registered := s.opts.Peers.Self(); registered || s.leaving.Load() || s.claimOwnRow() {
 		return nil
 	}
 	return s.Register(ctx)
