--- a/internal/order/order.go
+++ b/internal/order/order.go
@@ -95,7 +95,9 @@
 
 // Dispatcher talks to backend servers.
 type Dispatcher interface {
-	// Send makes one call. It checks SendBefore by the monotonic clock immediately before the first byte.
+	// Send makes one call and never repeats it. It checks SendBefore by the monotonic clock immediately before the first
+	// byte. With net/http, set GetBody to nil: the transport repeats a request that has a header Idempotency-Key and a
+	// GetBody function when a reused connection fails.
 	Send(ctx context.Context, send Send) SendResult
 	// Fence raises the fence of one order. It is repeatable.
 	Fence(ctx context.Context, raise FenceRaise) (FenceResult, error)
--- a/internal/order/raise.go
+++ b/internal/order/raise.go
@@ -12,6 +12,7 @@
 // send under a lower fence, so that the order can be sent under the new one.
 func (e *execution) raise(ctx context.Context, present row, server Server) (row, Response, *fault.Error, bool) {
 	claim := e.newClaim(server, present.claim.Fence+1)
+	started := e.service.config.Now()
 	next, mine, err := e.service.claims.write(ctx, e.key, claim, platform.IfVersion(present.version))
 	if err != nil {
 		return present, Response{}, nil, false // nothing was sent under the new fence; a later round raises it further
@@ -27,8 +28,11 @@
 		g := grant{row: next, server: server}
 		return row{}, e.answer(ctx, g, answer{result.Status, result.ContentType, result.Body}, true), nil, true
 	}
-	// The window of the new claim starts now: lower fences are refused, and nobody else holds this one.
-	resp, refused := e.dispatch(ctx, e.grant(next, server, e.service.config.Now()))
+	g := e.grant(next, server, started)
+	if !e.service.config.Now().Before(g.sendBefore) {
+		return e.raise(ctx, next, server) // the server answered too late for this claim
+	}
+	resp, refused := e.dispatch(ctx, g)
 	return row{}, resp, refused, true
 }
 
