--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -162,3 +162,36 @@
 		})
 	}
 }
+
+// Guards against a lease that stays without a holder for longer than stated after its holder was killed: a TTL after the
+// waiter's first look at the last renewal, plus one interval to look and one to take.
+func TestGapAfterKill(t *testing.T) {
+	var longest, total time.Duration
+	const runs = 200
+	for seed := range uint64(runs) {
+		synctest.Test(t, func(t *testing.T) {
+			rnd := rand.New(rand.NewPCG(seed, 3))
+			table := memory.NewTable()
+			a, b := newInstance(table, "a"), newInstance(table, "b")
+			killed := time.Now().Add(time.Duration(rnd.IntN(60_000)) * time.Millisecond)
+			go func() {
+				for time.Now().Before(killed) {
+					_, _ = a.Acquire(context.Background())
+					advance(DefaultTTL / renewalsPerTTL)
+				}
+			}()
+			advance(time.Duration(1+rnd.IntN(3_000)) * time.Millisecond)
+			for !b.Valid(time.Now()) {
+				_, _ = b.Acquire(context.Background())
+				advance(DefaultTTL / renewalsPerTTL)
+			}
+			gap := time.Since(killed) - DefaultTTL/renewalsPerTTL
+			total += gap
+			longest = max(longest, gap)
+		})
+	}
+	t.Logf("without a holder after a kill: mean %v, longest %v of %d runs", total/runs, longest, runs)
+	if limit := DefaultTTL + 2*DefaultTTL/renewalsPerTTL; longest > limit {
+		t.Errorf("the longest gap is %v, the limit %v", longest, limit)
+	}
+}
