--- a/internal/matrix/matrix.go
+++ b/internal/matrix/matrix.go
@@ -74,16 +74,26 @@
 type Run struct {
 	Column Column
 	// Mutant is the name of the broken mechanism; empty in the plain matrix.
-	Mutant   string
+	Mutant string
+	// Seed, if not zero, chooses a second fault. Only safety is checked then, because two faults may take both ways to make
+	// progress.
+	Seed     uint64
 	injected int
 	failures []string
 }
 
-// Failf records a failure of the check.
+// Failf records a violated invariant.
 func (r *Run) Failf(format string, args ...any) {
 	r.failures = append(r.failures, fmt.Sprintf(format, args...))
 }
 
+// Stuckf records missing progress after all faults have ended. It does not count with a second fault.
+func (r *Run) Stuckf(format string, args ...any) {
+	if r.Seed == 0 {
+		r.Failf(format, args...)
+	}
+}
+
 // Injected records that the fault happened. A check whose fault never happens fails.
 func (r *Run) Injected() { r.injected++ }
 
--- /dev/null
+++ b/internal/matrix/pairs_test.go
@@ -0,0 +1,50 @@
+package matrix
+
+import (
+	"flag"
+	"math/rand/v2"
+	"testing"
+)
+
+var (
+	pairSeed = flag.Uint64("pair-seed", 1, "first seed of the pairs of faults")
+	pairs    = flag.Uint64("pairs", 100, "number of pairs of faults")
+)
+
+// secondFault returns a fault at one of the first calls of any operation by any instance. The names of operations of other
+// paths never match. A send is never duplicated, for the reason that its cell in the matrix states.
+func secondFault(seed uint64) *injection {
+	rnd := rand.New(rand.NewPCG(seed, 5))
+	operations := []string{"put:order", "get:order", "before-send", "send", "fence", "put:bill", "get:bill", "copy",
+		"put:lease", "get:lease", "command", "put:session", "get:session", "resolve"}
+	f := &injection{
+		instance: []string{"a", "b", "c"}[rnd.IntN(3)],
+		op:       operations[rnd.IntN(len(operations))],
+		nth:      1 + rnd.IntN(4),
+		fault:    Columns()[rnd.IntN(len(Columns()))],
+		late:     rnd.IntN(2) == 0,
+	}
+	if f.op == "send" && f.fault == Duplicate {
+		f.fault = ReplyLost
+	}
+	return f
+}
+
+// Guards against an invariant that holds under one fault and breaks under two.
+func TestPairs(t *testing.T) {
+	sorted := sortedRows()
+	for seed := *pairSeed; seed < *pairSeed+*pairs; seed++ {
+		rnd := rand.New(rand.NewPCG(seed, 9))
+		row := sorted[rnd.IntN(len(sorted))]
+		column := Columns()[rnd.IntN(len(Columns()))]
+		if _, exempt := row.Reason(column); exempt || row.Check == nil {
+			continue
+		}
+		run := runCheck(t, row, &Run{Column: column, Seed: seed})
+		for _, problem := range run.failures {
+			second := secondFault(seed)
+			t.Errorf("seed %d: %s, %s, with %s of %s at call %d of %s (late %v): %s",
+				seed, row.Name(), column, second.fault, second.instance, second.nth, second.op, second.late, problem)
+		}
+	}
+}
