--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 TOOL := $(GO) tool -modfile=tools/go.mod
 
-.PHONY: help build generate check-generate fmt-check lint test ci demo
+.PHONY: help build generate check-generate fmt-check lint test ci demo matrix matrix-mutants
 
 help: ## List the targets.
 	@grep -hE '^[a-z-]+:.*## ' $(MAKEFILE_LIST) | sed 's/:.*## /: /'
@@ -29,6 +29,12 @@
 test: ## Run every test with the race detector and the lock-order check.
 	$(GO) test -race -tags lockcheck -count=1 ./...
 
+matrix: ## Print the fault matrix; fails if a cell fails or has neither a check nor a reason.
+	$(GO) test -count=1 -v -run 'TestMatrix$$' ./internal/matrix
+
+matrix-mutants: ## Break one mechanism at a time; fails if a cell of the matrix does not notice.
+	$(GO) test -count=1 -v -run 'TestMutants$$' ./internal/matrix
+
 ci: fmt-check lint check-generate test ## Run everything that CI runs.
 
 demo: build ## Start instances and stand-ins on loopback, send requests and print what happened.
--- a/internal/billing/billing.go
+++ b/internal/billing/billing.go
@@ -50,8 +50,8 @@
 	// copyAfter is the longest time that a bill waits for the table service before it is copied to a peer.
 	copyAfter = 200 * time.Millisecond
 	// copyInterval is the wait between rounds of copying, and with it the longest time for which a batch stays open while
-	// copies are made.
-	copyInterval = 50 * time.Millisecond
+	// copies are made. It bounds the copies of one instance to 10 a second.
+	copyInterval = 100 * time.Millisecond
 	// copyTimeout bounds one copy to one peer.
 	copyTimeout = 500 * time.Millisecond
 	// storeTimeout bounds one call to the table service.
