Keep answers of orders up to 256 KiB

A longer answer could make the row impossible to write, so that its result stayed pending for ever. The row now says that the order ran and that the answer was omitted; a repeat gets unknown with the status and never runs the order again.

--- a/internal/api/peer.gen.go
+++ b/internal/api/peer.gen.go
@@ -164,7 +164,10 @@
 	AttemptID     string `json:"attemptID" yaml:"attemptID"`
 	BackendServer string `json:"backendServer" yaml:"backendServer"`
 	Body          []byte `json:"body,omitempty" yaml:"body,omitempty"`
-	ContentType   string `json:"contentType,omitempty" yaml:"contentType,omitempty"`
+
+	// BodyOmitted Whether the order ran and its answer was too large to keep.
+	BodyOmitted bool   `json:"bodyOmitted,omitempty" yaml:"bodyOmitted,omitempty"`
+	ContentType string `json:"contentType,omitempty" yaml:"contentType,omitempty"`
 
 	// Digest SHA-256 (hex) of method, path and body.
 	Digest      string          `json:"digest" yaml:"digest"`
--- a/internal/order/execution.go
+++ b/internal/order/execution.go
@@ -141,7 +141,7 @@
 
 // answer records the result and returns it to the caller. A result that cannot be recorded now is written later.
 func (e *execution) answer(ctx context.Context, g grant, a answer, replayed bool) Response {
-	claim := done(g.row.claim, a, e.service.config.Now())
+	claim := e.service.done(g.row.claim, a)
 	if !e.service.record(context.WithoutCancel(ctx), e.key, claim, g.row.version) {
 		e.service.pending.add(pendingWrite{key: e.key, claim: claim})
 	}
@@ -155,12 +155,16 @@
 	body        []byte
 }
 
-func done(claim api.OrderClaim, a answer, now time.Time) api.OrderClaim {
+// done returns the claim with the result of the order.
+func (s *Service) done(claim api.OrderClaim, a answer) api.OrderClaim {
 	claim.State = api.ClaimDone
 	claim.Status = a.status
 	claim.ContentType = a.contentType
 	claim.Body = a.body
-	claim.UnixMillis = now.UnixMilli()
+	claim.UnixMillis = s.config.Now().UnixMilli()
+	if len(a.body) > s.config.MaxResultBytes {
+		claim.Body, claim.BodyOmitted = nil, true
+	}
 	return claim
 }
 
--- a/internal/order/follow.go
+++ b/internal/order/follow.go
@@ -79,6 +79,9 @@
 		return Response{}, e.unknown(fmt.Sprintf("the order ran %s ago and its result is kept for %s",
 			age.Round(time.Hour), e.service.config.Retention), claim.BackendServer)
 	}
+	if claim.BodyOmitted {
+		return Response{}, e.unknown(fmt.Sprintf("the order ran with status %d; its answer was too large to keep", claim.Status), claim.BackendServer)
+	}
 	return Response{
 		Status:        claim.Status,
 		ContentType:   claim.ContentType,
--- a/internal/order/order.go
+++ b/internal/order/order.go
@@ -121,6 +121,8 @@
 	MaxWait time.Duration
 	// Retention is the time for which a result is replayed; default 24 h.
 	Retention time.Duration
+	// MaxResultBytes is the longest answer that is kept for repeats; default 256 KiB. Longer ones reach only the first caller.
+	MaxResultBytes int
 	// PendingLimit bounds the writes that wait for the table service; default 10,000.
 	PendingLimit int
 }
@@ -131,7 +133,9 @@
 	defaultStoreTimeout = time.Second
 	defaultMaxWait      = 30 * time.Second
 	defaultRetention    = 24 * time.Hour
-	defaultPendingLimit = 10_000
+	// defaultMaxResultBytes keeps rows below common limits of table services.
+	defaultMaxResultBytes = 256 << 10
+	defaultPendingLimit   = 10_000
 )
 
 // Service executes orders at most once.
--- a/internal/order/order_test.go
+++ b/internal/order/order_test.go
@@ -249,6 +249,17 @@
 	})
 }
 
+// Guards against an answer that is too large for the row, replayed in part or run again.
+func TestLargeAnswerIsNotKept(t *testing.T) {
+	each(t, false, func(t *testing.T, p pair) {
+		p.a.config.MaxResultBytes = 5
+		wantRun(t, p.a, "1", false)
+		_, refused := p.b.call("2", "shirts", time.Second)
+		wantFault(t, refused, fault.CodeOrderUnknown)
+		wantExecutions(t, p.server, 1)
+	})
+}
+
 // Guards against an unbounded list of unwritten results in a long outage.
 func TestPendingLimit(t *testing.T) {
 	each(t, false, func(t *testing.T, p pair) {
--- a/internal/order/service.go
+++ b/internal/order/service.go
@@ -28,6 +28,9 @@
 	config.StoreTimeout = orDefault(config.StoreTimeout, defaultStoreTimeout)
 	config.MaxWait = orDefault(config.MaxWait, defaultMaxWait)
 	config.Retention = orDefault(config.Retention, defaultRetention)
+	if config.MaxResultBytes == 0 {
+		config.MaxResultBytes = defaultMaxResultBytes
+	}
 	if config.PendingLimit == 0 {
 		config.PendingLimit = defaultPendingLimit
 	}
