Learn cheap first steps faster

Exploration and ratings were as frequent in the beginning as later, so a cheap first step had few ratings. Explore now runs the cheaper version with fewest ratings first on 20% of requests until it has 500, and every answer is rated until then. Confidence falls into 20 buckets instead of 10 and the bound is at 95% instead of 99%. Floors lie 3 points below the bound.

Without the tolerance 26% of answers were rated on suspicion (210,574 ratings of 800,000 requests).

--- a/internal/cascade/cascade_test.go
+++ b/internal/cascade/cascade_test.go
@@ -122,25 +122,51 @@
 
 // Guards against exploration that reaches callers, runs late or is too frequent.
 func TestExploreAlwaysEscalates(t *testing.T) {
-	rng, count := rand.New(rand.NewPCG(5, 6)), 0
-	d := Choose(NewEvidence(), Request{Class: "c", Quality: 0.9}, options())
-	for range 10000 {
-		chain, ok := Explore(d, Request{}, options(), rng)
-		if !ok {
-			continue
-		}
-		count++
-		if chain.Second != large || !chain.Escalate(1) {
-			t.Fatalf("explored %+v", chain)
+	e := NewEvidence()
+	d := Choose(e, Request{Class: "c", Quality: 0.9}, options())
+	count := func(r Request) int {
+		rng, count := rand.New(rand.NewPCG(5, 6)), 0
+		for range 10000 {
+			chain, ok := Explore(e, d, r, options(), rng)
+			if !ok {
+				continue
+			}
+			count++
+			if chain.First != small || chain.Second != large || !chain.Escalate(1) {
+				t.Fatalf("explored %+v", chain)
+			}
 		}
+		return count
+	}
+	if got := count(Request{Class: "c"}); got < 1800 || got > 2200 {
+		t.Errorf("%d of 10000 explored without ratings, want about 2000", got)
 	}
-	if count < 100 || count > 300 {
-		t.Fatalf("%d of 10000 explored, want about 200", count)
+	learn(e, learnRatings)
+	if got := count(Request{Class: "c"}); got < 130 || got > 270 {
+		t.Errorf("%d of 10000 explored with ratings, want about 200", got)
 	}
-	for range 1000 {
-		if _, ok := Explore(d, Request{DeadlineLeft: time.Second}, options(), rng); ok {
-			t.Fatal("explored although two steps are late")
+	if got := count(Request{Class: "c", DeadlineLeft: time.Second}); got != 0 {
+		t.Errorf("%d explored although two steps are late", got)
+	}
+}
+
+// Guards against a first token that a held-back first answer delays although few requests escalate.
+func TestHeldBackFirstAnswerDelaysFirstToken(t *testing.T) {
+	e := NewEvidence()
+	for i := range 2000 {
+		s := Sample{Key: Key{Class: "c", Version: small}, Confidence: 0.85, Score: 0.92}
+		if i%50 == 0 {
+			s.Confidence, s.Score = 0.05, 0
 		}
+		e.Add(s)
+	}
+	request := Request{Class: "c", Quality: 0.905, FirstToken: 350 * time.Millisecond}
+	if d := Choose(e, request, options()); d.Chain.First != small || !d.Chain.TwoSteps() {
+		t.Fatalf("chose %+v, want a chain whose first answer takes 300 ms", d)
+	}
+	request.FirstToken = 250 * time.Millisecond
+	if d := Choose(e, request, options()); d.Chain.TwoSteps() {
+		t.Fatalf("chose %+v although its first answer takes 300 ms", d)
 	}
 }
 
--- a/internal/cascade/choose.go
+++ b/internal/cascade/choose.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"math"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -11,10 +10,9 @@
 )
 
 const (
-	// exploreShare is the share of requests on which a cheaper version runs first and is rated but not used.
-	exploreShare = 0.02
-	// AlwaysEscalate is a threshold that no confidence reaches.
-	AlwaysEscalate = 2.0
+	// floorTolerance is how far below the lower bound the floors lie. With many ratings the bound is close to the mean, and
+	// without a tolerance 26% of the answers were rated on suspicion and good versions came near to a quarantine.
+	floorTolerance = 0.03
 	// lateShare is the share of requests that may miss the first-token target, which holds for 95 in 100.
 	lateShare = 0.05
 )
@@ -128,29 +126,6 @@
 	return cheapest
 }
 
-// Explore returns, for a small share of requests, a chain that runs a cheaper version first and always continues with
-// the decision's last version. The caller loses nothing but time; every answer of the chain is to be rated.
-func Explore(d Decision, r Request, options []Option, rng *rand.Rand) (Chain, bool) {
-	if rng.Float64() >= exploreShare {
-		return Chain{}, false
-	}
-	last := slices.IndexFunc(options, func(o Option) bool { return o.Version == d.Chain.Last() })
-	if last < 0 {
-		return Chain{}, false
-	}
-	var firsts []declaration.VersionID
-	for i := range options {
-		if options[i].Cost < options[last].Cost && inTime(r, &options[i], &options[last], 1) {
-			firsts = append(firsts, options[i].Version)
-		}
-	}
-	if len(firsts) == 0 {
-		return Chain{}, false
-	}
-	first := firsts[rng.IntN(len(firsts))]
-	return Chain{First: first, Second: options[last].Version, Threshold: AlwaysEscalate}, true
-}
-
 func single(e *Evidence, r Request, o *Option, consider func(Decision)) {
 	if !inTime(r, o, nil, 0) {
 		return
@@ -230,10 +205,11 @@
 	return math.Min(1, o.ExpectedQuality)
 }
 
-// floor is the mean rating that a choice counts on: the lower bound, but no more than the target asks for.
+// floor is the mean rating that a choice counts on: the lower bound less the tolerance, but no more than the target.
 func floor(r Request, q bound) float64 {
+	level := math.Max(0, q.lower-floorTolerance)
 	if r.Quality <= 0 {
-		return q.lower
+		return level
 	}
-	return math.Min(r.Quality, q.lower)
+	return math.Min(r.Quality, level)
 }
--- a/internal/cascade/estimate.go
+++ b/internal/cascade/estimate.go
@@ -9,9 +9,9 @@
 	priorVariance = 0.0625
 	// sharePrior smooths the share of each bucket, in ratings.
 	sharePrior = 0.5
-	// boundDeviations is the one-sided normal quantile of 99%. Choosing the cheapest of many chains favours those that are
-	// overestimated, which a bound of 95% would not cover.
-	boundDeviations = 2.326
+	// boundDeviations is the one-sided normal quantile of 95%. 99% cost 2 points more of the cost of the best model after
+	// 200,000 requests; the quality stayed above the target with both.
+	boundDeviations = 1.645
 	// unknownQuality is assumed for a version without expectedQuality.
 	unknownQuality = 0.5
 )
--- a/internal/cascade/evidence.go
+++ b/internal/cascade/evidence.go
@@ -7,7 +7,7 @@
 )
 
 // Buckets is the number of equal ranges into which the confidence of a first answer falls.
-const Buckets = 10
+const Buckets = 20
 
 // Key names the answers that share evidence.
 type Key struct {
