Measure cost at quality target and exposure to bad versions

cmd/benchpolicy runs the real decisions on a virtual clock with fake engines, against six baselines.

--- /dev/null
+++ b/cmd/benchpolicy/main.go
@@ -0,0 +1,44 @@
+// Command benchpolicy measures the decisions of the router on a virtual clock and writes tables and plots. It is a tool of
+// the project and is not shipped.
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"slices"
+
+	"github.com/alexflint/go-arg"
+
+	"github.com/cicadawall/cicadawall/internal/benchpolicy"
+)
+
+type arguments struct {
+	Experiment []string `arg:"positional" help:"cost, bad, latency, subset, placement; all if none is given"`
+	Seeds      int      `arg:"--seeds" default:"10" help:"number of seeds"`
+	Plots      string   `arg:"--plots" default:"docs/plots" help:"directory of the SVG files"`
+}
+
+type experiment struct {
+	name string
+	run  func(out io.Writer, plots string, seeds int) error
+}
+
+var experiments = []experiment{
+	{"cost", benchpolicy.Cost},
+	{"bad", benchpolicy.Bad},
+}
+
+func main() {
+	var args arguments
+	arg.MustParse(&args)
+	for _, e := range experiments {
+		if len(args.Experiment) > 0 && !slices.Contains(args.Experiment, e.name) {
+			continue
+		}
+		if err := e.run(os.Stdout, args.Plots, args.Seeds); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+	}
+}
