--- a/cmd/benchpolicy/main.go
+++ b/cmd/benchpolicy/main.go
@@ -29,6 +29,7 @@
 	{"bad", benchpolicy.Bad},
 	{"latency", benchpolicy.Latency},
 	{"subset", benchpolicy.Subset},
+	{"placement", benchpolicy.Placement},
 }
 
 func main() {
--- a/internal/cascade/cascade_test.go
+++ b/internal/cascade/cascade_test.go
@@ -46,6 +46,10 @@
 	if !d.Chain.Escalate(0.25) || d.Chain.Escalate(0.85) {
 		t.Fatalf("threshold %v does not separate 0.25 from 0.85", d.Chain.Threshold)
 	}
+	free := Choose(e, Request{Class: "c"}, options())
+	if want := free.QualityBound - floorTolerance; free.FirstFloor != want {
+		t.Fatalf("floor %v without a target, want %v", free.FirstFloor, want)
+	}
 	if d.Cost > 9 || d.FirstFloor > 0.9 || d.SecondFloor > 0.9 {
 		t.Fatalf("cost %v, floors %v and %v", d.Cost, d.FirstFloor, d.SecondFloor)
 	}
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -56,14 +56,12 @@
 }
 
 // mayGive reports whether one version may lose a replica to another: if it has a surplus, or, when there are too few slots
-// for all, if it is still better covered than the other after the move. This cannot go to and fro.
+// for all, if it is still at least as well covered as the other after the move. This cannot go to and fro, and it keeps
+// the last replica, because a version without replicas is covered less than any other.
 func (s *state) mayGive(giver, taker declaration.VersionID) bool {
 	if s.replicas[giver] > s.wanted[giver] {
 		return true
 	}
-	if s.replicas[giver] <= 1 {
-		return false
-	}
 	giverAfter := float64(s.replicas[giver]-1) / float64(max(1, s.wanted[giver]))
 	takerAfter := float64(s.replicas[taker]+1) / float64(max(1, s.wanted[taker]))
 	return giverAfter >= takerAfter
--- a/internal/routing/subset.go
+++ b/internal/routing/subset.go
@@ -24,67 +24,133 @@
 // Assign gives each instance size servers (all, if there are fewer) by rendezvous hash with bounded load, own zone
 // first. Instances with the same view compute the same assignment; differing views only weaken the balance. Call it with
 // the servers of one version, so that every subset holds servers of each version.
+//
+// Instances choose one server in each round, in the order of their hash. The bound of a round is the mean load after it, rounded
+// up; without rounds the last instances found room on few servers, and some servers stayed without any instance.
 func Assign(instances, servers []Member, size int) Assignment {
 	result := Assignment{servers: make(map[string][]string, len(instances))}
-	if len(servers) == 0 {
-		return result
-	}
+	size = min(size, len(servers))
 	ordered := slices.Clone(instances)
 	slices.SortFunc(ordered, func(a, b Member) int {
 		return cmp.Or(cmp.Compare(xxhash.Sum64String(a.ID), xxhash.Sum64String(b.ID)), cmp.Compare(a.ID, b.ID))
 	})
 	load := make([]int, len(servers))
-	size = min(size, len(servers))
-	for _, instance := range ordered {
-		local := zoneIndexes(servers, instance.Zone, true)
-		limit := bounded(countZone(ordered, instance.Zone)*min(size, len(local)), len(local))
-		result.servers[instance.ID] = take(instance, servers, local, load, size, limit)
-	}
-	limit := bounded(len(ordered)*size, len(servers))
-	for _, instance := range ordered {
-		have := result.servers[instance.ID]
-		if len(have) >= size {
-			continue
+	for _, zone := range zones(ordered) {
+		var choosers []*chooser
+		for _, m := range ordered {
+			if m.Zone == zone {
+				choosers = append(choosers, newChooser(m, servers, true))
+			}
 		}
-		remote := zoneIndexes(servers, instance.Zone, false)
-		result.servers[instance.ID] = append(have, take(instance, servers, remote, load, size-len(have), limit)...)
+		among := zoneIndexes(servers, zone)
+		for range min(size, len(among)) {
+			round(choosers, load, among)
+		}
+		result.add(choosers, servers)
 	}
+	result.fill(ordered, servers, load, size)
 	return result
 }
 
-// take returns the count servers with the highest rendezvous weight, those below the limit first, and adds to the load.
-func take(instance Member, servers []Member, among []int, load []int, count, limit int) []string {
-	type weighted struct {
-		server int
-		weight uint64
-		full   int
+// fill adds servers of other zones for instances whose zone has fewer than size.
+func (a Assignment) fill(ordered, servers []Member, load []int, size int) {
+	var short []*chooser
+	for _, m := range ordered {
+		if len(a.servers[m.ID]) < size {
+			short = append(short, newChooser(m, servers, false))
+		}
 	}
-	ranked := make([]weighted, 0, len(among))
-	for _, i := range among {
-		w := weighted{server: i, weight: rendezvous(instance.ID, servers[i].ID)}
-		if load[i] >= limit {
-			w.full = load[i]
+	all := make([]int, len(servers))
+	for i := range all {
+		all[i] = i
+	}
+	for len(short) > 0 {
+		round(short, load, all)
+		short = slices.DeleteFunc(short, func(c *chooser) bool {
+			full := len(a.servers[c.instance.ID])+len(c.chosen) >= size
+			if full {
+				a.add([]*chooser{c}, servers)
+			}
+			return full
+		})
+	}
+}
+
+// chooser is an instance with the servers that it may choose, best first.
+type chooser struct {
+	instance Member
+	ranked   []int
+	chosen   []int
+}
+
+func newChooser(instance Member, servers []Member, own bool) *chooser {
+	c := &chooser{instance: instance}
+	weights := make([]uint64, len(servers))
+	for i := range servers {
+		if (servers[i].Zone == instance.Zone) == own {
+			weights[i] = rendezvous(instance.ID, servers[i].ID)
+			c.ranked = append(c.ranked, i)
 		}
-		ranked = append(ranked, w)
 	}
-	slices.SortFunc(ranked, func(a, b weighted) int {
-		return cmp.Or(cmp.Compare(a.full, b.full), cmp.Compare(b.weight, a.weight))
+	slices.SortFunc(c.ranked, func(a, b int) int {
+		return cmp.Or(cmp.Compare(weights[b], weights[a]), cmp.Compare(a, b))
 	})
-	var ids []string
-	for _, w := range ranked[:min(count, len(ranked))] {
-		load[w.server]++
-		ids = append(ids, servers[w.server].ID)
+	return c
+}
+
+// choose takes the best server below the limit, or the least loaded one if all are at the limit.
+func (c *chooser) choose(load []int, limit int) {
+	best := -1
+	for k, i := range c.ranked {
+		if best >= 0 && load[i] >= load[c.ranked[best]] {
+			continue
+		}
+		best = k
+		if load[i] < limit {
+			break
+		}
+	}
+	if best < 0 {
+		return
+	}
+	server := c.ranked[best]
+	load[server]++
+	c.chosen = append(c.chosen, server)
+	c.ranked = slices.Delete(c.ranked, best, best+1)
+}
+
+// round lets each instance choose one more server. The limit is the mean load over the servers after the round.
+func round(choosers []*chooser, load []int, among []int) {
+	if len(among) == 0 {
+		return
+	}
+	total := len(choosers)
+	for _, i := range among {
+		total += load[i]
+	}
+	limit := (total + len(among) - 1) / len(among)
+	for _, c := range choosers {
+		c.choose(load, limit)
 	}
-	return ids
 }
 
-// bounded is the mean number of links for each server, rounded up. With a slack of 15% some servers had no instance; without
-// it about three times as many links move when an instance comes or goes, still below 1% of all.
-func bounded(links, servers int) int {
-	if servers == 0 {
-		return 0
+func (a Assignment) add(choosers []*chooser, servers []Member) {
+	for _, c := range choosers {
+		for _, i := range c.chosen {
+			a.servers[c.instance.ID] = append(a.servers[c.instance.ID], servers[i].ID)
+		}
 	}
-	return (links + servers - 1) / servers
+}
+
+func zones(members []Member) []string {
+	var out []string
+	for i := range members {
+		if !slices.Contains(out, members[i].Zone) {
+			out = append(out, members[i].Zone)
+		}
+	}
+	slices.Sort(out)
+	return out
 }
 
 func rendezvous(instance, server string) uint64 {
@@ -95,22 +161,12 @@
 	return xxhash.Sum64(key)
 }
 
-func zoneIndexes(servers []Member, zone string, own bool) []int {
+func zoneIndexes(servers []Member, zone string) []int {
 	var out []int
 	for i := range servers {
-		if (servers[i].Zone == zone) == own {
+		if servers[i].Zone == zone {
 			out = append(out, i)
 		}
 	}
 	return out
 }
-
-func countZone(members []Member, zone string) int {
-	count := 0
-	for i := range members {
-		if members[i].Zone == zone {
-			count++
-		}
-	}
-	return count
-}
