Smooth the demand before placement

Noise of 10% from round to round moved versions although the mean demand was constant. Forecast rises faster than it falls.

--- a/internal/benchpolicy/placing.go
+++ b/internal/benchpolicy/placing.go
@@ -33,6 +33,19 @@
 // mover decides the moves of one round.
 type mover func(in placement.Input) []placement.Move
 
+// forecasted returns a mover with the real decision on a smoothed demand.
+func forecasted() mover {
+	f := placement.NewForecast()
+	return func(in placement.Input) []placement.Move {
+		smooth := slices.Clone(in.Demands)
+		for i := range smooth {
+			smooth[i].Concurrent = f.Observe(smooth[i].Version, smooth[i].Concurrent)
+		}
+		in.Demands = smooth
+		return decided(in)
+	}
+}
+
 func decided(in placement.Input) []placement.Move { return placement.Decide(in).Moves }
 
 func unmoved(placement.Input) []placement.Move { return nil }
@@ -75,8 +88,13 @@
 	fmt.Fprintln(out, "|---|---|--:|--:|--:|--:|")
 	methods := []struct {
 		name string
-		move mover
-	}{{"placement", decided}, {"exact share each round", proportional}, {"fixed", unmoved}}
+		move func() mover
+	}{
+		{"placement with forecast", forecasted},
+		{"placement without forecast", func() mover { return decided }},
+		{"exact share each round", func() mover { return proportional }},
+		{"fixed", func() mover { return unmoved }},
+	}
 	for _, step := range []bool{false, true} {
 		demand := "day and night"
 		if step {
@@ -86,7 +104,7 @@
 			var unserved, loads, settled []float64
 			missed := 0
 			for seed := range seeds {
-				r := place(m.move, step, uint64(seed))
+				r := place(m.move(), step, uint64(seed))
 				unserved, loads = append(unserved, 100*r.unserved), append(loads, r.loads)
 				if r.settled < 0 {
 					missed++
--- /dev/null
+++ b/internal/placement/forecast.go
@@ -0,0 +1,37 @@
+package placement
+
+import "github.com/cicadawall/cicadawall/internal/declaration"
+
+const (
+	// riseWeight and fallWeight are the weights of a new sample above and below the forecast. Rising faster than falling
+	// keeps replicas for a peak that returns.
+	riseWeight = 0.2
+	fallWeight = 0.05
+)
+
+// Forecast smooths the demand for each version over the rounds. It is not safe for concurrent use.
+type Forecast struct {
+	values map[declaration.VersionID]float64
+}
+
+// NewForecast returns a forecast without samples.
+func NewForecast() *Forecast { return &Forecast{values: map[declaration.VersionID]float64{}} }
+
+// Observe adds the concurrent requests of one round and returns the smoothed demand.
+func (f *Forecast) Observe(version declaration.VersionID, concurrent float64) float64 {
+	value, ok := f.values[version]
+	if !ok {
+		f.values[version] = concurrent
+		return concurrent
+	}
+	weight := fallWeight
+	if concurrent > value {
+		weight = riseWeight
+	}
+	value += weight * (concurrent - value)
+	f.values[version] = value
+	return value
+}
+
+// Forget drops a version.
+func (f *Forecast) Forget(version declaration.VersionID) { delete(f.values, version) }
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -143,3 +143,21 @@
 		t.Errorf("plan %+v while 2 engines load", plan)
 	}
 }
+
+// Guards against a forecast that follows noise or drops a peak at once.
+func TestForecastRisesFasterThanItFalls(t *testing.T) {
+	f := NewForecast()
+	f.Observe(version("x"), 10)
+	up := f.Observe(version("x"), 20) - 10
+	if up <= 0 || up >= 10 {
+		t.Fatalf("rose by %v after a sample 10 above", up)
+	}
+	before := f.Observe(version("x"), 10+up)
+	if down := before - f.Observe(version("x"), before-10); down <= 0 || down >= up {
+		t.Fatalf("fell by %v, rose by %v", down, up)
+	}
+	f.Forget(version("x"))
+	if got := f.Observe(version("x"), 3); got != 3 {
+		t.Fatalf("forecast %v after Forget", got)
+	}
+}
