--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 TOOL := $(GO) tool -modfile=tools/go.mod
 
-.PHONY: help build generate check-generate fmt-check lint test ci demo
+.PHONY: help build generate check-generate fmt-check lint test ci demo bench-policy
 
 help: ## List the targets.
 	@grep -hE '^[a-z-]+:.*## ' $(MAKEFILE_LIST) | sed 's/:.*## /: /'
@@ -33,3 +33,7 @@
 
 demo: build ## Start instances and stand-ins on loopback, send requests and print what happened.
 	scripts/demo.sh
+
+bench-policy: ## Measure the decisions: tables to standard output, plots to docs/plots, then the benchmarks.
+	$(GO) run ./cmd/benchpolicy --seeds 10 --plots docs/plots
+	$(GO) test -run '^$$' -bench . -benchmem ./internal/routing ./internal/cascade
--- a/internal/benchpolicy/bad.go
+++ b/internal/benchpolicy/bad.go
@@ -74,6 +74,10 @@
 	found     float64
 }
 
+func newBadRun(c badCase, seed uint64) *badRun {
+	return &badRun{badCase: c, rng: rand.New(rand.NewPCG(seed, 5)), evidence: rollout.NewEvidence()}
+}
+
 type ratedAnswer struct {
 	due   float64
 	score float64
@@ -189,8 +193,7 @@
 	var served, seconds, shares []float64
 	missed := 0
 	for seed := range seeds {
-		run := &badRun{badCase: c, rng: rand.New(rand.NewPCG(uint64(seed), 5)), evidence: rollout.NewEvidence()}
-		e := run.expose(points / 100)
+		e := newBadRun(c, uint64(seed)).expose(points / 100)
 		served, seconds, shares = append(served, e.served), append(seconds, e.seconds), append(shares, 100*e.share)
 		if e.missed {
 			missed++
--- a/internal/cascade/choose.go
+++ b/internal/cascade/choose.go
@@ -114,16 +114,20 @@
 			}
 		}
 	}
+	chosen := cheapest
 	switch {
 	case !timely:
 		return fastest(e, r, options)
 	case !met:
-		best.Unmet = UnmetQuality
-		return best
+		chosen = best
+		chosen.Unmet = UnmetQuality
 	case r.CostPer1000 > 0 && cheapest.Cost*1000 > r.CostPer1000:
-		cheapest.Unmet = UnmetCost
+		chosen.Unmet = UnmetCost
 	}
-	return cheapest
+	if chosen.Chain.TwoSteps() {
+		setFloors(e, r, options, &chosen)
+	}
+	return chosen
 }
 
 func single(e *Evidence, r Request, o *Option, consider func(Decision)) {
@@ -143,37 +147,62 @@
 	}
 }
 
+// steps holds what is known about a chain of two versions.
+type steps struct {
+	share         [Buckets]float64
+	weight        float64
+	first, second estimate
+}
+
+func stepsOf(e *Evidence, class string, first, second *Option) steps {
+	firstRow := e.rows[Key{Class: class, Version: first.Version}]
+	secondAlone := e.rows[Key{Class: class, Version: second.Version}]
+	secondRow := e.rows[Key{Class: class, Version: second.Version, After: first.Version}]
+	s := steps{first: estimateOf(firstRow, prior(first))}
+	s.share, s.weight = shares(firstRow)
+	s.second = estimateOf(secondRow, meanOf(secondAlone, prior(second)))
+	return s
+}
+
+// over returns the bound over a range of buckets if those below the threshold escalate.
+func (s *steps) over(from, to, threshold int) bound {
+	return boundOver(s.share, s.weight, from, to, func(bucket int) *estimate {
+		if bucket < threshold {
+			return &s.second
+		}
+		return &s.first
+	})
+}
+
 // pair considers the chain of two versions at each threshold.
 func pair(e *Evidence, r Request, first, second *Option, consider func(Decision)) {
-	firstRow := e.rows[Key{Class: r.Class, Version: first.Version}]
-	secondAlone := e.rows[Key{Class: r.Class, Version: second.Version}]
-	secondRow := e.rows[Key{Class: r.Class, Version: second.Version, After: first.Version}]
-	share, weight := shares(firstRow)
-	a := estimateOf(firstRow, prior(first))
-	b := estimateOf(secondRow, meanOf(secondAlone, prior(second)))
+	s := stepsOf(e, r.Class, first, second)
 	escalated := 0.0
 	for threshold := 1; threshold < Buckets; threshold++ {
-		escalated += share[threshold-1]
+		escalated += s.share[threshold-1]
 		if !inTime(r, first, second, escalated) {
 			return
 		}
-		pick := func(bucket int) *estimate {
-			if bucket < threshold {
-				return &b
-			}
-			return &a
-		}
-		q := boundOver(share, weight, 0, Buckets, pick)
+		q := s.over(0, Buckets, threshold)
 		consider(Decision{
 			Chain:   Chain{First: first.Version, Second: second.Version, Threshold: float64(threshold) / Buckets},
 			Quality: q.mean, QualityBound: q.lower,
 			Cost: first.Cost + escalated*second.Cost, EscalationShare: escalated,
-			FirstFloor:  floor(r, boundOver(share, weight, threshold, Buckets, pick)),
-			SecondFloor: floor(r, boundOver(share, weight, 0, threshold, pick)),
 		})
 	}
 }
 
+// setFloors sets the floors of both steps of the chosen chain.
+func setFloors(e *Evidence, r Request, options []Option, d *Decision) {
+	find := func(version declaration.VersionID) *Option {
+		return &options[slices.IndexFunc(options, func(o Option) bool { return o.Version == version })]
+	}
+	s := stepsOf(e, r.Class, find(d.Chain.First), find(d.Chain.Second))
+	threshold := int(math.Round(d.Chain.Threshold * Buckets))
+	d.FirstFloor = floor(r, s.over(threshold, Buckets, threshold))
+	d.SecondFloor = floor(r, s.over(0, threshold, threshold))
+}
+
 // inTime reports whether the predicted latency fits. A first answer of a chain is held back until its confidence is
 // known, so the caller's first token comes when it is complete, or with the second step's first token.
 func inTime(r Request, first, second *Option, escalated float64) bool {
