--- a/cmd/benchpolicy/main.go
+++ b/cmd/benchpolicy/main.go
@@ -14,7 +14,7 @@
 )
 
 type arguments struct {
-	Experiment []string `arg:"positional" help:"cost, bad, latency, subset, placement; all if none is given"`
+	Experiment []string `arg:"positional" help:"cost, early, bad, latency, subset, placement; all if none is given"`
 	Seeds      int      `arg:"--seeds" default:"10" help:"number of seeds"`
 	Plots      string   `arg:"--plots" default:"docs/plots" help:"directory of the SVG files"`
 }
@@ -26,6 +26,7 @@
 
 var experiments = []experiment{
 	{"cost", benchpolicy.Cost},
+	{"early", benchpolicy.Early},
 	{"bad", benchpolicy.Bad},
 	{"latency", benchpolicy.Latency},
 	{"subset", benchpolicy.Subset},
--- a/internal/benchpolicy/dispatch.go
+++ b/internal/benchpolicy/dispatch.go
@@ -38,7 +38,7 @@
 	in.candidates[server].SentSince++
 	in.sent[server] = append(in.sent[server], w.now)
 	r.cost += cost(&w.site.models[s.model], &w.site.classes[r.class])
-	a := &attempt{request: r, model: s.model, server: server, sent: w.now}
+	a := &attempt{request: r, model: s.model, server: server, sent: w.now, second: r.second}
 	w.at(w.now+w.network(in.zone, s.zone), func() { w.arrive(a) })
 }
 
@@ -54,16 +54,52 @@
 	r := a.request
 	in := w.instances[r.instance]
 	in.candidates[a.server].InFlight--
-	escalate := !r.second && r.chain.Escalate(r.confidence)
+	escalate := !a.second && r.chain.Escalate(r.confidence)
 	w.sampleRating(a, !escalate)
 	if !escalate {
 		w.deliver(a)
 		return
 	}
+	if a.decided == 0 {
+		w.escalate(r)
+	}
+}
+
+func (w *world) escalate(r *request) {
 	r.second = true
 	w.send(r, w.routed(r, w.modelOf(r.chain.Second)))
 }
 
+// decideEarly schedules the decision on a first answer before its end. An answer that escalates is cancelled unless it is to
+// be rated.
+func (w *world) decideEarly(s *server, a *attempt) {
+	r := a.request
+	tokens := min(w.early, w.site.classes[r.class].outputTokens)
+	a.decided = a.firstToken + time.Duration(tokens)*a.perToken
+	key := cascade.Key{Class: w.site.classes[r.class].name, Version: w.site.models[a.model].version}
+	a.rated = w.drawRating(a, key)
+	if !r.chain.Escalate(r.confidence) {
+		return
+	}
+	w.at(a.decided, func() {
+		if !a.rated {
+			a.ended = true
+			w.instances[r.instance].candidates[a.server].InFlight--
+			w.free(s)
+		}
+		w.escalate(r)
+	})
+}
+
+// drawRating decides whether an answer is rated; it does not look at the answer.
+func (w *world) drawRating(a *attempt, key cascade.Key) bool {
+	if !w.policy.learns {
+		return false
+	}
+	share := cascade.RatingShare(w.evidence, key, ratingShare)
+	return a.request.explored || w.suspect[a.model] || w.rng.Float64() < share
+}
+
 // deliver records the answer that reaches the caller.
 func (w *world) deliver(a *attempt) {
 	r := a.request
@@ -73,8 +109,11 @@
 	c := &w.site.classes[r.class]
 	back := w.network(w.instances[r.instance].zone, w.servers[a.server].zone) + w.site.clientDelay
 	firstToken := a.firstToken
-	if r.chain.TwoSteps() && !r.second {
+	if r.chain.TwoSteps() && !a.second {
 		firstToken = a.done // a first answer is held back until its confidence is known
+		if a.decided > 0 {
+			firstToken = a.decided
+		}
 	}
 	wait := firstToken - r.arrived + back + w.site.clientDelay
 	total := a.done - r.arrived + back + w.site.clientDelay
@@ -122,17 +161,16 @@
 // sampleRating samples one answer for a rating; the decision does not look at the answer.
 func (w *world) sampleRating(a *attempt, delivered bool) {
 	r := a.request
-	if !w.policy.learns {
-		return
-	}
 	key := cascade.Key{Class: w.site.classes[r.class].name, Version: w.site.models[a.model].version}
 	floor := r.decision.FirstFloor
-	if r.second {
+	if a.second {
 		key.After = r.chain.First
 		floor = r.decision.SecondFloor
 	}
-	share := cascade.RatingShare(w.evidence, key, ratingShare)
-	if !r.explored && !w.suspect[a.model] && w.rng.Float64() >= share {
+	if a.decided == 0 {
+		a.rated = w.drawRating(a, key)
+	}
+	if !a.rated {
 		return
 	}
 	w.result.ratings++
--- a/internal/benchpolicy/policy.go
+++ b/internal/benchpolicy/policy.go
@@ -159,10 +159,14 @@
 			continue
 		}
 		total := w.site.serviceTime(m, c, fill)
-		options = append(options, cascade.Option{
+		option := cascade.Option{
 			Version: m.version, ExpectedQuality: m.expectedQuality, Cost: cost(m, c),
 			FirstToken: total - time.Duration(c.outputTokens)*decodeTime(m, fill), Total: total,
-		})
+		}
+		if w.early > 0 {
+			option.Decided = option.FirstToken + time.Duration(min(w.early, c.outputTokens))*decodeTime(m, fill)
+		}
+		options = append(options, option)
 	}
 	return options
 }
--- a/internal/benchpolicy/server.go
+++ b/internal/benchpolicy/server.go
@@ -21,6 +21,12 @@
 	firstToken time.Duration
 	done       time.Duration
 	perToken   time.Duration
+	// second is true for the second step of a chain.
+	second bool
+	// decided is when the confidence of a first answer is known, if that is before its end; ended means it was cancelled.
+	decided time.Duration
+	ended   bool
+	rated   bool
 }
 
 // server is a fake engine: a batch, a queue and a prefix cache.
@@ -71,14 +77,25 @@
 	a.perToken = decodeTime(m, fill)
 	a.done = a.firstToken + time.Duration(c.outputTokens)*a.perToken
 	w.at(a.done, func() { w.finish(s, a) })
+	if w.early > 0 && !a.second && a.request.chain.TwoSteps() {
+		w.decideEarly(s, a)
+	}
 }
 
 func (w *world) finish(s *server, a *attempt) {
+	if a.ended {
+		return
+	}
+	w.free(s)
+	w.answered(a)
+}
+
+// free gives a place in the batch to the next attempt in the queue.
+func (w *world) free(s *server) {
 	s.running--
 	if len(s.queue) > 0 {
 		next := s.queue[0]
 		s.queue = s.queue[1:]
 		w.start(s, next)
 	}
-	w.answered(a)
 }
--- a/internal/benchpolicy/world.go
+++ b/internal/benchpolicy/world.go
@@ -87,6 +87,8 @@
 	turnBy float64
 	// separation is how much lower the confidence of a first answer is on hard requests; zero means the usual one.
 	separation float64
+	// early is the number of tokens after which the confidence of a first answer is known; zero means all.
+	early int
 	// reportEvery is the interval of load reports; zero means the usual one.
 	reportEvery time.Duration
 }
--- a/internal/cascade/cascade_test.go
+++ b/internal/cascade/cascade_test.go
@@ -172,6 +172,11 @@
 	if d := Choose(e, request, options()); d.Chain.TwoSteps() {
 		t.Fatalf("chose %+v although its first answer takes 300 ms", d)
 	}
+	early := options()
+	early[0].Decided = 200 * time.Millisecond
+	if d := Choose(e, request, early); !d.Chain.TwoSteps() {
+		t.Fatalf("chose %+v although the confidence is known after 200 ms", d)
+	}
 }
 
 func BenchmarkChoose(b *testing.B) {
--- a/internal/cascade/choose.go
+++ b/internal/cascade/choose.go
@@ -27,6 +27,16 @@
 	// FirstToken and Total are the predicted times to the first token and to the whole answer, at the 95th percentile.
 	FirstToken time.Duration
 	Total      time.Duration
+	// Decided is the predicted time until the confidence of a first answer is known; zero means Total. A first answer that
+	// escalates is assumed to end then, but its whole cost is counted.
+	Decided time.Duration
+}
+
+func (o *Option) decided() time.Duration {
+	if o.Decided > 0 {
+		return o.Decided
+	}
+	return o.Total
 }
 
 // Request is the target of the request's class. Zero fields set no target.
@@ -204,14 +214,14 @@
 }
 
 // inTime reports whether the predicted latency fits. A first answer of a chain is held back until its confidence is
-// known, so the caller's first token comes when it is complete, or with the second step's first token.
+// known, so the caller's first token comes then or with the second step's first token.
 func inTime(r Request, first, second *Option, escalated float64) bool {
 	firstToken, total := first.FirstToken, first.Total
 	if second != nil {
-		firstToken = first.Total
-		total = first.Total + second.Total
+		firstToken = first.decided()
+		total = max(first.Total, first.decided()+second.Total)
 		if escalated > lateShare {
-			firstToken = first.Total + second.FirstToken
+			firstToken = first.decided() + second.FirstToken
 		}
 	}
 	if r.FirstToken > 0 && firstToken > r.FirstToken {
