--- a/internal/cascade/choose.go
+++ b/internal/cascade/choose.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"math"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -11,10 +10,9 @@
 )
 
 const (
-	// exploreShare is the share of requests on which a cheaper version runs first and is rated but not used.
-	exploreShare = 0.02
-	// AlwaysEscalate is a threshold that no confidence reaches.
-	AlwaysEscalate = 2.0
+	// floorTolerance is how far below the lower bound the floors lie. With many ratings the bound is close to the mean, and
+	// without a tolerance 26% of the answers were rated on suspicion and good versions came near to a quarantine.
+	floorTolerance = 0.03
 	// lateShare is the share of requests that may miss the first-token target, which holds for 95 in 100.
 	lateShare = 0.05
 )
@@ -29,6 +27,16 @@
 	// FirstToken and Total are the predicted times to the first token and to the whole answer, at the 95th percentile.
 	FirstToken time.Duration
 	Total      time.Duration
+	// Decided is the predicted time until the confidence of a first answer is known; zero means Total. A first answer that
+	// escalates is assumed to end then, but its whole cost is counted.
+	Decided time.Duration
+}
+
+func (o *Option) decided() time.Duration {
+	if o.Decided > 0 {
+		return o.Decided
+	}
+	return o.Total
 }
 
 // Request is the target of the request's class. Zero fields set no target.
@@ -116,39 +124,20 @@
 			}
 		}
 	}
+	chosen := cheapest
 	switch {
 	case !timely:
 		return fastest(e, r, options)
 	case !met:
-		best.Unmet = UnmetQuality
-		return best
+		chosen = best
+		chosen.Unmet = UnmetQuality
 	case r.CostPer1000 > 0 && cheapest.Cost*1000 > r.CostPer1000:
-		cheapest.Unmet = UnmetCost
-	}
-	return cheapest
-}
-
-// Explore returns, for a small share of requests, a chain that runs a cheaper version first and always continues with
-// the decision's last version. The caller loses nothing but time; every answer of the chain is to be rated.
-func Explore(d Decision, r Request, options []Option, rng *rand.Rand) (Chain, bool) {
-	if rng.Float64() >= exploreShare {
-		return Chain{}, false
+		chosen.Unmet = UnmetCost
 	}
-	last := slices.IndexFunc(options, func(o Option) bool { return o.Version == d.Chain.Last() })
-	if last < 0 {
-		return Chain{}, false
+	if chosen.Chain.TwoSteps() {
+		setFloors(e, r, options, &chosen)
 	}
-	var firsts []declaration.VersionID
-	for i := range options {
-		if options[i].Cost < options[last].Cost && inTime(r, &options[i], &options[last], 1) {
-			firsts = append(firsts, options[i].Version)
-		}
-	}
-	if len(firsts) == 0 {
-		return Chain{}, false
-	}
-	first := firsts[rng.IntN(len(firsts))]
-	return Chain{First: first, Second: options[last].Version, Threshold: AlwaysEscalate}, true
+	return chosen
 }
 
 func single(e *Evidence, r Request, o *Option, consider func(Decision)) {
@@ -168,46 +157,71 @@
 	}
 }
 
+// steps holds what is known about a chain of two versions.
+type steps struct {
+	share         [Buckets]float64
+	weight        float64
+	first, second estimate
+}
+
+func stepsOf(e *Evidence, class string, first, second *Option) steps {
+	firstRow := e.rows[Key{Class: class, Version: first.Version}]
+	secondAlone := e.rows[Key{Class: class, Version: second.Version}]
+	secondRow := e.rows[Key{Class: class, Version: second.Version, After: first.Version}]
+	s := steps{first: estimateOf(firstRow, prior(first))}
+	s.share, s.weight = shares(firstRow)
+	s.second = estimateOf(secondRow, meanOf(secondAlone, prior(second)))
+	return s
+}
+
+// over returns the bound over a range of buckets if those below the threshold escalate.
+func (s *steps) over(from, to, threshold int) bound {
+	return boundOver(s.share, s.weight, from, to, func(bucket int) *estimate {
+		if bucket < threshold {
+			return &s.second
+		}
+		return &s.first
+	})
+}
+
 // pair considers the chain of two versions at each threshold.
 func pair(e *Evidence, r Request, first, second *Option, consider func(Decision)) {
-	firstRow := e.rows[Key{Class: r.Class, Version: first.Version}]
-	secondAlone := e.rows[Key{Class: r.Class, Version: second.Version}]
-	secondRow := e.rows[Key{Class: r.Class, Version: second.Version, After: first.Version}]
-	share, weight := shares(firstRow)
-	a := estimateOf(firstRow, prior(first))
-	b := estimateOf(secondRow, meanOf(secondAlone, prior(second)))
+	s := stepsOf(e, r.Class, first, second)
 	escalated := 0.0
 	for threshold := 1; threshold < Buckets; threshold++ {
-		escalated += share[threshold-1]
+		escalated += s.share[threshold-1]
 		if !inTime(r, first, second, escalated) {
 			return
 		}
-		pick := func(bucket int) *estimate {
-			if bucket < threshold {
-				return &b
-			}
-			return &a
-		}
-		q := boundOver(share, weight, 0, Buckets, pick)
+		q := s.over(0, Buckets, threshold)
 		consider(Decision{
 			Chain:   Chain{First: first.Version, Second: second.Version, Threshold: float64(threshold) / Buckets},
 			Quality: q.mean, QualityBound: q.lower,
 			Cost: first.Cost + escalated*second.Cost, EscalationShare: escalated,
-			FirstFloor:  floor(r, boundOver(share, weight, threshold, Buckets, pick)),
-			SecondFloor: floor(r, boundOver(share, weight, 0, threshold, pick)),
 		})
 	}
 }
 
+// setFloors sets the floors of both steps of the chosen chain.
+func setFloors(e *Evidence, r Request, options []Option, d *Decision) {
+	find := func(version declaration.VersionID) *Option {
+		return &options[slices.IndexFunc(options, func(o Option) bool { return o.Version == version })]
+	}
+	s := stepsOf(e, r.Class, find(d.Chain.First), find(d.Chain.Second))
+	threshold := int(math.Round(d.Chain.Threshold * Buckets))
+	d.FirstFloor = floor(r, s.over(threshold, Buckets, threshold))
+	d.SecondFloor = floor(r, s.over(0, threshold, threshold))
+}
+
 // inTime reports whether the predicted latency fits. A first answer of a chain is held back until its confidence is
-// known, so the caller's first token comes when it is complete, or with the second step's first token.
+// known, so the caller's first token comes then or with the second step's first token.
 func inTime(r Request, first, second *Option, escalated float64) bool {
 	firstToken, total := first.FirstToken, first.Total
 	if second != nil {
-		firstToken = first.Total
-		total = first.Total + second.Total
+		firstToken = first.decided()
+		total = max(first.Total, first.decided()+second.Total)
 		if escalated > lateShare {
-			firstToken = first.Total + second.FirstToken
+			firstToken = first.decided() + second.FirstToken
 		}
 	}
 	if r.FirstToken > 0 && firstToken > r.FirstToken {
@@ -230,10 +244,11 @@
 	return math.Min(1, o.ExpectedQuality)
 }
 
-// floor is the mean rating that a choice counts on: the lower bound, but no more than the target asks for.
+// floor is the mean rating that a choice counts on: the lower bound less the tolerance, but no more than the target.
 func floor(r Request, q bound) float64 {
+	level := math.Max(0, q.lower-floorTolerance)
 	if r.Quality <= 0 {
-		return q.lower
+		return level
 	}
-	return math.Min(r.Quality, q.lower)
+	return math.Min(r.Quality, level)
 }
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -1,33 +1,26 @@
-// Package cli holds the subcommands of the binary.
 package cli
 
 import (
+	"context"
 	"fmt"
 	"io"
 
 	"github.com/alexflint/go-arg"
 	"github.com/pkg/errors"
-
-	"github.com/cicadawall/cicadawall/internal/api"
 )
 
 // Version is the release that the binary reports.
 const Version = "0.1.0-dev"
 
-// Exit codes that are common to all subcommands; `config` documents its own.
-const (
-	ExitOK      = 0
-	ExitInvalid = 1
-	ExitUsage   = 2
-	ExitFailed  = 5
-)
-
 // VersionCommand prints the release.
 type VersionCommand struct{}
 
 // arguments is the command line.
 type arguments struct {
 	Serve   *ServeCommand   `arg:"subcommand:serve" help:"run an entry instance"`
+	Config  *ConfigCommand  `arg:"subcommand:config" help:"validate, compare, apply and show the shared declaration"`
+	Status  *StatusCommand  `arg:"subcommand:status" help:"show targets and what is reached at an instance"`
+	Explain *ExplainCommand `arg:"subcommand:explain" help:"show why a request ran, or would run, where it does"`
 	Version *VersionCommand `arg:"subcommand:version" help:"print the release"`
 }
 
@@ -42,13 +35,13 @@
 	parser, err := arg.NewParser(arg.Config{Program: "cicadawall", Out: stderr}, &parsed)
 	if err != nil {
 		fmt.Fprintln(stderr, err)
-		return ExitFailed
+		return ExitUnknown
 	}
 	err = parser.Parse(args)
 	switch {
 	case errors.Is(err, arg.ErrHelp):
 		_ = parser.WriteHelpForSubcommand(stdout, parser.SubcommandNames()...)
-		return ExitOK
+		return ExitDone
 	case err != nil:
 		_ = parser.WriteUsageForSubcommand(stderr, parser.SubcommandNames()...)
 		fmt.Fprintln(stderr, "error:", err)
@@ -61,17 +54,16 @@
 	switch {
 	case a.Serve != nil:
 		return a.Serve.run(stdout, stderr)
+	case a.Config != nil:
+		return a.Config.Run(context.Background(), stdout, stderr)
+	case a.Status != nil:
+		return a.Status.run(context.Background(), printer{out: stdout, errOut: stderr})
+	case a.Explain != nil:
+		return a.Explain.run(context.Background(), printer{out: stdout, errOut: stderr})
 	case a.Version != nil:
 		fmt.Fprintln(stdout, "cicadawall", Version)
-		return ExitOK
+		return ExitDone
 	}
 	parser.WriteHelp(stderr)
 	return ExitUsage
 }
-
-// printProblems prints one line per problem as file:line:column: field: message.
-func printProblems(out io.Writer, problems []api.Problem) {
-	for _, problem := range problems {
-		fmt.Fprintf(out, "%s:%d:%d: %s: %s\n", problem.File, problem.Line, problem.Column, problem.Field, problem.Message)
-	}
-}
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -28,8 +28,7 @@
 func (c *ServeCommand) run(stdout, stderr io.Writer) int {
 	set, problems := settings.Load(c.Settings)
 	if len(problems) > 0 {
-		printProblems(stderr, problems)
-		return ExitInvalid
+		return printer{out: stdout, errOut: stderr}.problems(problems, false)
 	}
 	var level slog.Level
 	if err := level.UnmarshalText([]byte(c.LogLevel)); err != nil {
@@ -42,11 +41,11 @@
 	instance, err := app.New(set, log)
 	if err != nil {
 		log.Error("instance did not start", "error", err.Error())
-		return ExitFailed
+		return ExitUnknown
 	}
 	if err := instance.Run(ctx); err != nil {
 		log.Error("instance stopped with an error", "error", err.Error())
-		return ExitFailed
+		return ExitUnknown
 	}
-	return ExitOK
+	return ExitDone
 }
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -103,7 +103,7 @@
 			fmt.Sprintf("no allowed chain meets the %s target of class %q", decision.Unmet, in.Class.Name))
 	}
 	plan := Plan{Decision: decision}
-	if chain, ok := cascade.Explore(decision, request, options, in.Random); ok {
+	if chain, ok := cascade.Explore(p.versions.Ratings(), decision, request, options, in.Random); ok {
 		plan.Chain, plan.Explored = chain, true
 	}
 	return plan, nil
