--- a/internal/configsync/measure_test.go
+++ b/internal/configsync/measure_test.go
@@ -9,8 +9,11 @@
 	"github.com/cicadawall/cicadawall/internal/api"
 )
 
-// measured is the number of instances to measure; docs/measurements/configuration.md names the command.
-var measured = flag.Int("measure-instances", 7, "number of instances of TestMeasureChange")
+// Numbers of instances to measure; docs/measurements/configuration.md names the command.
+var (
+	measured     = flag.Int("measure-instances", 7, "number of instances of TestMeasureChange")
+	measuredDead = flag.Int("measure-dead", 0, "number of them that die just before the change")
+)
 
 const (
 	// inForceTarget is the time within which a change must be in force everywhere.
@@ -41,9 +44,12 @@
 		if rate > messageTarget {
 			t.Errorf("%.2f calls a second per instance", rate)
 		}
+		for _, n := range c.nodes[len(c.nodes)-*measuredDead:] {
+			n.kill()
+		}
 		inForce, accepted := c.measureChange(t)
-		t.Logf("instances %d: in force everywhere after %v, accepted after %v, largest digest %d bytes, %.1f KB received per instance until then",
-			len(c.nodes), inForce, accepted, c.largest.Load(), float64(c.bytes.Load())/n/1000)
+		t.Logf("instances %d, %d dead: in force at all others after %v, accepted after %v, largest digest %d bytes, %.1f KB received per instance until then",
+			len(c.nodes), *measuredDead, inForce, accepted, c.largest.Load(), float64(c.bytes.Load())/n/1000)
 		if inForce > inForceTarget {
 			t.Errorf("in force after %v", inForce)
 		}
@@ -81,7 +87,7 @@
 
 func (c *cluster) everywhere(revision int64) bool {
 	for _, n := range c.nodes {
-		if n.config.Revision() < revision {
+		if !n.dead.Load() && n.config.Revision() < revision {
 			return false
 		}
 	}
