Treat unclassified write errors of a change as ambiguous

An adapter error outside the four documented kinds, followed by an unavailable store, was reported as refused although the first write may have taken effect.

--- a/internal/configsync/apply.go
+++ b/internal/configsync/apply.go
@@ -122,10 +122,12 @@
 		if err == nil {
 			return s.await(ctx, revision)
 		}
-		if errors.Is(err, platform.ErrUnavailable) && !ambiguous {
+		refused := errors.Is(err, platform.ErrUnavailable)
+		if refused && !ambiguous {
 			return unavailable(err)
 		}
-		ambiguous = ambiguous || errors.Is(err, platform.ErrAmbiguous)
+		// An error that is not known to be without effect may have had one.
+		ambiguous = ambiguous || !refused && !errors.Is(err, platform.ErrConditionFailed)
 		row, err := s.opts.Table.Get(ctx, Key(revision))
 		if err == nil {
 			existing, err := decodeRow(row)
