Use one check of keys on all ports; keep sessions whose other models still serve

Cause: caller and operator front ends hashed keys on their own, and a session was refused as soon as one of its pinned versions was withdrawn although another model could still answer. Now access checks every key and header count, and a session is refused only when the requested model, or every model, of its pin is withdrawn; it never moves to another version.

--- a/internal/access/keys.go
+++ b/internal/access/keys.go
@@ -45,11 +45,11 @@
 func Caller(snapshot *declaration.Snapshot, header string) (*api.Organisation, *fault.Error) {
 	key, ok := BearerKey(header)
 	if !ok {
-		return nil, unauthenticated("the request has no bearer key")
+		return nil, unauthenticated("the request has no caller key")
 	}
 	organisation, ok := snapshot.OrganisationByKeyHash(HashKey(key))
 	if !ok {
-		return nil, unauthenticated("the key is not known")
+		return nil, unauthenticated("the caller key is not known")
 	}
 	return organisation, nil
 }
@@ -79,7 +79,7 @@
 func (k OperatorKeys) Check(header string) *fault.Error {
 	key, ok := BearerKey(header)
 	if !ok {
-		return unauthenticated("the request has no bearer key")
+		return unauthenticated("the request has no operator key")
 	}
 	sum := sha256.Sum256([]byte(key))
 	match := 0
@@ -87,7 +87,7 @@
 		match |= subtle.ConstantTimeCompare(sum[:], k.hashes[i][:])
 	}
 	if match != 1 {
-		return unauthenticated("the key is not known")
+		return unauthenticated("the operator key is not known")
 	}
 	return nil
 }
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/cicadawall/cicadawall/internal/access"
 	"github.com/cicadawall/cicadawall/internal/admission"
 	"github.com/cicadawall/cicadawall/internal/api"
 	"github.com/cicadawall/cicadawall/internal/billing"
@@ -80,6 +81,7 @@
 	sampler    *quality.Sampler
 	classes    *status.Classes
 	tls        *tlsSet
+	operators  access.OperatorKeys
 
 	started   time.Time
 	listeners []listener
@@ -106,6 +108,9 @@
 	if i.tls, err = newTLS(set.Tls, log); err != nil {
 		return nil, err
 	}
+	if i.operators, err = access.NewOperatorKeys(set.Keys.OperatorKeyHashes); err != nil {
+		return nil, errors.Wrap(err, "operator keys")
+	}
 	if err := i.buildPlatform(); err != nil {
 		return nil, err
 	}
--- a/internal/app/servers.go
+++ b/internal/app/servers.go
@@ -94,7 +94,7 @@
 func (i *Instance) operatorHandler() http.Handler {
 	e := newEcho()
 	i.healthRoutes(e)
-	group := e.Group("", operatorhttp.Authenticate(i.set.Keys.OperatorKeyHashes))
+	group := e.Group("", operatorhttp.Authenticate(i.operators))
 	operatorhttp.Handlers{Configuration: i.syncer}.Register(group)
 	group.GET("/operator/v1/status", func(c echo.Context) error {
 		return c.JSON(http.StatusOK, status.Collect(i.statusSources(), time.Now()))
--- a/internal/cli/config_test.go
+++ b/internal/cli/config_test.go
@@ -14,6 +14,7 @@
 	"github.com/alexflint/go-arg"
 	"github.com/labstack/echo/v4"
 
+	"github.com/cicadawall/cicadawall/internal/access"
 	"github.com/cicadawall/cicadawall/internal/api"
 	"github.com/cicadawall/cicadawall/internal/server/operatorhttp"
 )
@@ -46,7 +47,11 @@
 	t.Helper()
 	sum := sha256.Sum256([]byte(key))
 	e := echo.New()
-	group := e.Group("", operatorhttp.Authenticate([]string{strings.Repeat("00", 32), hex.EncodeToString(sum[:])}))
+	keys, err := access.NewOperatorKeys([]string{strings.Repeat("00", 32), hex.EncodeToString(sum[:])})
+	if err != nil {
+		t.Fatal(err)
+	}
+	group := e.Group("", operatorhttp.Authenticate(keys))
 	operatorhttp.Handlers{Configuration: fake}.Register(group)
 	server := httptest.NewServer(e)
 	t.Cleanup(server.Close)
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -136,8 +136,11 @@
 	if problem != nil {
 		return nil, problem
 	}
+	if problem := pin.CheckModel(snapshot, j.request.Organisation, j.class.Name, j.request.Model); problem != nil {
+		return nil, problem
+	}
 	j.handle = j.request.Session
-	return pin.Versions(), nil
+	return pin.Serving(snapshot, j.request.Organisation, j.class.Name), nil
 }
 
 // runChain runs the steps of the chain until one answer is accepted.
--- a/internal/dispatch/router.go
+++ b/internal/dispatch/router.go
@@ -2,12 +2,11 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"fmt"
 	"log/slog"
 	"time"
 
+	"github.com/cicadawall/cicadawall/internal/access"
 	"github.com/cicadawall/cicadawall/internal/admission"
 	"github.com/cicadawall/cicadawall/internal/api"
 	"github.com/cicadawall/cicadawall/internal/declaration"
@@ -83,16 +82,15 @@
 // MaxBodyBytes returns the size limit of a request body in bytes.
 func (r *Router) MaxBodyBytes() int64 { return r.Parts.MaxBodyBytes }
 
-// Authenticate returns the organisation to which the caller key belongs.
-func (r *Router) Authenticate(key string) (string, *fault.Error) {
+// Authenticate returns the organisation whose caller key the Authorization header holds.
+func (r *Router) Authenticate(header string) (string, *fault.Error) {
 	snapshot := r.Config.Snapshot()
 	if snapshot == nil {
 		return "", fault.NotRun(fault.StepAuthenticate, fault.CodeConfigurationStale, "no configuration is in force yet")
 	}
-	sum := sha256.Sum256([]byte(key))
-	organisation, ok := snapshot.OrganisationByKeyHash(hex.EncodeToString(sum[:]))
-	if !ok {
-		return "", fault.NotRun(fault.StepAuthenticate, fault.CodeUnauthenticated, "the caller key belongs to no organisation")
+	organisation, problem := access.Caller(snapshot, header)
+	if problem != nil {
+		return "", problem
 	}
 	return organisation.Name, nil
 }
--- a/internal/server/callerhttp/callerhttp.go
+++ b/internal/server/callerhttp/callerhttp.go
@@ -14,6 +14,7 @@
 	"github.com/labstack/echo/v4"
 	"github.com/pkg/errors"
 
+	"github.com/cicadawall/cicadawall/internal/access"
 	"github.com/cicadawall/cicadawall/internal/api"
 	"github.com/cicadawall/cicadawall/internal/declaration"
 	"github.com/cicadawall/cicadawall/internal/dispatch"
@@ -36,8 +37,8 @@
 
 // Router takes decoded requests.
 type Router interface {
-	// Authenticate returns the organisation to which the caller key belongs.
-	Authenticate(key string) (string, *fault.Error)
+	// Authenticate returns the organisation whose caller key the Authorization header holds.
+	Authenticate(header string) (string, *fault.Error)
 	// Model starts a model request and returns its reply.
 	Model(ctx context.Context, request dispatch.ModelRequest) (*dispatch.Reply, *fault.Error)
 	// Plain starts a plain service call and returns its reply.
@@ -70,11 +71,10 @@
 func (h *Handler) begin(c echo.Context) (exchange, *fault.Error) {
 	x := exchange{id: uuid.NewString()}
 	c.Response().Header().Set(HeaderRequestID, x.id)
-	key, ok := strings.CutPrefix(c.Request().Header.Get("Authorization"), "Bearer ")
-	if !ok {
-		return x, fault.NotRun(fault.StepAuthenticate, fault.CodeUnauthenticated, "send the caller key as Authorization: Bearer <key>")
+	if problem := access.CheckHeader(c.Request().Header); problem != nil {
+		return x, problem
 	}
-	organisation, problem := h.router.Authenticate(strings.TrimSpace(key))
+	organisation, problem := h.router.Authenticate(c.Request().Header.Get("Authorization"))
 	x.organisation = organisation
 	return x, problem
 }
--- a/internal/server/operatorhttp/operatorhttp.go
+++ b/internal/server/operatorhttp/operatorhttp.go
@@ -4,17 +4,15 @@
 import (
 	"bytes"
 	"context"
-	"crypto/sha256"
-	"crypto/subtle"
-	"encoding/hex"
 	"encoding/json"
 	"io"
 	"net/http"
-	"strings"
 
 	"github.com/labstack/echo/v4"
 
+	"github.com/cicadawall/cicadawall/internal/access"
 	"github.com/cicadawall/cicadawall/internal/api"
+	"github.com/cicadawall/cicadawall/internal/server/httperr"
 )
 
 // maxBody bounds a request in bytes; a declaration has at most 1 MiB, which JSON escapes may double.
@@ -39,36 +37,18 @@
 	group.GET("/operator/v1/config/status", h.status)
 }
 
-// Authenticate accepts requests with a bearer key whose SHA-256 hash (hex) is listed. Without hashes it refuses all.
-func Authenticate(hashes []string) echo.MiddlewareFunc {
-	var known [][]byte
-	for _, text := range hashes {
-		if hash, err := hex.DecodeString(text); err == nil {
-			known = append(known, hash)
-		}
-	}
+// Authenticate accepts requests with an operator key.
+func Authenticate(keys access.OperatorKeys) echo.MiddlewareFunc {
 	return func(next echo.HandlerFunc) echo.HandlerFunc {
 		return func(c echo.Context) error {
-			key, ok := strings.CutPrefix(c.Request().Header.Get(echo.HeaderAuthorization), "Bearer ")
-			if !ok || !matches(known, key) {
-				return c.JSON(http.StatusUnauthorized, refusal("unauthenticated", "an operator key is required",
-					"send Authorization: Bearer <operator key>"))
+			if problem := keys.Check(c.Request().Header.Get(echo.HeaderAuthorization)); problem != nil {
+				return httperr.Write(c, problem, "")
 			}
 			return next(c)
 		}
 	}
 }
 
-// matches compares with every hash, so that its time tells nothing about them.
-func matches(known [][]byte, key string) bool {
-	sum := sha256.Sum256([]byte(key))
-	found := 0
-	for _, hash := range known {
-		found |= subtle.ConstantTimeCompare(hash, sum[:])
-	}
-	return found == 1
-}
-
 func refusal(code, message, advice string) api.ErrorBody {
 	return api.ErrorBody{Error: api.ErrorDetail{
 		Message: message, Type: "invalid_request_error", Code: code, Outcome: api.OutcomeNotRun, Step: "configure", Advice: advice,
--- a/internal/session/pin.go
+++ b/internal/session/pin.go
@@ -53,17 +53,41 @@
 	Allowed(organisation, class string, id declaration.VersionID) bool
 }
 
-// Check refuses the session if one of its versions may no longer run its requests.
+// Check refuses the session if none of its versions may run its requests any more. A pin holds one version for each model,
+// so a session goes on with the models whose versions still serve; it never moves to another version of a model.
 func (p Pin) Check(policy Policy, organisation, class string) *fault.Error {
+	var refused *fault.Error
 	for _, id := range p.versions {
-		if !policy.Usable(id) {
-			return versionWithdrawn(fmt.Sprintf("the session is pinned to %s, which is withdrawn", id))
+		switch {
+		case !policy.Usable(id):
+			refused = versionWithdrawn(fmt.Sprintf("the session is pinned to %s, which is withdrawn", id))
+		case !policy.Allowed(organisation, class, id):
+			refused = versionWithdrawn(fmt.Sprintf("the session is pinned to %s, which organisation %q may not use for class %q", id, organisation, class))
+		default:
+			return nil
 		}
-		if !policy.Allowed(organisation, class, id) {
-			return versionWithdrawn(fmt.Sprintf("the session is pinned to %s, which organisation %q may not use for class %q", id, organisation, class))
+	}
+	return refused
+}
+
+// Serving returns the pinned versions that may run a request of the class.
+func (p Pin) Serving(policy Policy, organisation, class string) []declaration.VersionID {
+	var serving []declaration.VersionID
+	for _, id := range p.versions {
+		if policy.Usable(id) && policy.Allowed(organisation, class, id) {
+			serving = append(serving, id)
 		}
 	}
-	return nil
+	return serving
+}
+
+// CheckModel refuses the session if its version of the model may not run its requests.
+func (p Pin) CheckModel(policy Policy, organisation, class, model string) *fault.Error {
+	id, ok := p.Version(model)
+	if !ok {
+		return nil
+	}
+	return NewPin(id).Check(policy, organisation, class)
 }
 
 func versionWithdrawn(message string) *fault.Error {
