--- a/internal/access/harden.go
+++ b/internal/access/harden.go
@@ -14,7 +14,7 @@
 	// readHeaderTimeout bounds a client that sends its header slowly.
 	readHeaderTimeout = 5 * time.Second
 	// bodyTimeout bounds a client that sends its body slowly; 4 MiB take 28 s at 1.2 Mbit/s. http.Server.ReadTimeout is not
-	// used, because it also ends the context of a handler that streams for longer.
+	// used, because it counts from the start of the header and stays set while the handler runs.
 	bodyTimeout = 30 * time.Second
 	// idleTimeout is above the 60 s after which usual load balancers close idle connections, so that the balancer closes
 	// first and no request meets a closing connection.
--- a/internal/access/tls_test.go
+++ b/internal/access/tls_test.go
@@ -191,6 +191,7 @@
 	for name, pair := range map[string][2]*tls.Config{
 		"client of another CA":       {PeerServerConfig(a), PeerClientConfig(stranger)},
 		"server of another CA":       {PeerServerConfig(stranger), PeerClientConfig(b)},
+		"certificate of another CA":  {PeerServerConfig(a), {InsecureSkipVerify: true, GetClientCertificate: PeerClientConfig(stranger).GetClientCertificate}},
 		"client without certificate": {PeerServerConfig(a), {InsecureSkipVerify: true}},
 	} {
 		if _, err := handshake(t, pair[0], pair[1]); err == nil {
--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -57,10 +57,10 @@
 		return l.Report([]string{"o"}, fixed(limits), now).Demands[0].HeldRequestsPerSecond
 	}
 	l.Apply(grants, start, start.Add(time.Second))
-	if got := held(start.Add(Validity - 1)); got != 50 {
+	if got := held(start.Add(3*time.Second - 1)); got != 50 {
 		t.Errorf("%g requests/s under the grant, want 50", got)
 	}
-	if got := held(start.Add(Validity)); got != 10 {
+	if got := held(start.Add(3 * time.Second)); got != 10 {
 		t.Errorf("%g requests/s after the grant, want 10", got)
 	}
 	l.Apply(grants, start, start.Add(Validity))
