--- a/internal/app/drain.go
+++ b/internal/app/drain.go
@@ -37,8 +37,9 @@
 	}
 	durable := i.makeDurable()
 	i.closeServers()
-	i.duties.Stop()
+	// Duties run until the registration has ended, so that the instance confirms its configuration up to then.
 	i.deregister()
+	i.duties.Stop()
 	for _, closer := range i.closers {
 		closer()
 	}
--- a/internal/app/peers.go
+++ b/internal/app/peers.go
@@ -79,7 +79,7 @@
 		Peers:         i.peers,
 		Config:        i.config,
 		Log:           i.log,
-		Registrations: i.membership.Poll,
+		Registrations: i.membership.Follow,
 		Trigger:       func(duty string) { i.duties.Trigger(duty) },
 		Bound:         bound,
 		PollInterval:  settings.Millis(i.set.Timing.ConfigPollMillis),
