--- a/internal/app/peers.go
+++ b/internal/app/peers.go
@@ -28,11 +28,29 @@
 // peerTimeout bounds one call between instances, so that a dead peer costs little.
 const peerTimeout = time.Second
 
+// peerConns bounds the connections to one peer. Each kind of message is sent by one duty, one at a time.
+const peerConns = 8
+
+// traffic returns a counter of the control bytes that this instance exchanges with peers or the platform.
+func (i *Instance) traffic(with string) func(written, read int) {
+	sent := fmt.Sprintf("cicadawall_control_bytes_total{with=%q,direction=%q}", with, "sent")
+	received := fmt.Sprintf("cicadawall_control_bytes_total{with=%q,direction=%q}", with, "received")
+	return func(written, read int) {
+		if written > 0 {
+			i.metrics.Count(sent, written)
+		}
+		if read > 0 {
+			i.metrics.Count(received, read)
+		}
+	}
+}
+
 func (i *Instance) buildPlatform() error {
 	client, err := httpclient.New(httpclient.Options{
 		BaseURL:  i.set.Platform.BaseURL,
 		Timeout:  settings.Millis(i.set.Platform.TimeoutMillis),
 		Instance: i.set.Instance.Name,
+		Traffic:  i.traffic("platform"),
 	})
 	if err != nil {
 		return errors.Wrap(err, "platform client")
@@ -44,13 +62,13 @@
 
 // buildPeers builds membership, configuration and all that instances tell each other.
 func (i *Instance) buildPeers(bound time.Duration) error {
-	transport := &http.Transport{TLSClientConfig: i.tls.peerClient, IdleConnTimeout: time.Minute}
-	i.closers = append(i.closers, transport.CloseIdleConnections)
+	sender := httpsend.New(httpsend.Options{TLS: i.tls.peerClient, MaxConnsPerHost: peerConns, Traffic: i.traffic("peers")})
+	i.closers = append(i.closers, sender.Close)
 	scheme := "http"
 	if i.tls.peerClient != nil {
 		scheme = "https"
 	}
-	peers := peerhttp.Client{HTTP: &http.Client{Transport: transport, Timeout: peerTimeout}, Scheme: scheme}
+	peers := peerhttp.Client{HTTP: &http.Client{Transport: sender, Timeout: peerTimeout}, Scheme: scheme}
 	i.membership = membership.New(membership.Options{
 		Registration: api.Registration{
 			Incarnation:      i.incarnation,
@@ -84,8 +102,6 @@
 		Bound:         bound,
 		PollInterval:  settings.Millis(i.set.Timing.ConfigPollMillis),
 	})
-	sender := httpsend.New(httpsend.Options{TLS: i.tls.peerClient})
-	i.closers = append(i.closers, sender.Close)
 	i.control = controlhttp.NewClient(sender, func(incarnation string) (string, bool) { return i.peerURL(scheme, incarnation) })
 	i.buildLedger()
 	i.limits = newLimits(i.incarnation, i.config, i.peers, i.control)
--- a/internal/httpsend/conn.go
+++ b/internal/httpsend/conn.go
@@ -14,6 +14,17 @@
 	mu     sync.Mutex
 	writes int
 	sealed bool
+	// traffic is told the bytes written and read; it may be nil.
+	traffic func(written, read int)
+}
+
+// Read implements net.Conn.
+func (c *trackedConn) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	if c.traffic != nil {
+		c.traffic(0, n)
+	}
+	return n, err
 }
 
 // Write counts the attempt before it runs, because a failed write may have sent a part.
@@ -25,7 +36,11 @@
 	}
 	c.writes++
 	c.mu.Unlock()
-	return c.Conn.Write(data)
+	n, err := c.Conn.Write(data)
+	if c.traffic != nil {
+		c.traffic(n, 0)
+	}
+	return n, err
 }
 
 func (c *trackedConn) count() int {
--- a/internal/httpsend/sender.go
+++ b/internal/httpsend/sender.go
@@ -31,6 +31,9 @@
 	// FreshConnections uses a new connection for each request, so that no request meets a connection that the server is
 	// about to close.
 	FreshConnections bool
+	// Traffic is told the bytes written to and read from each connection, TLS included; nil counts nothing. It must not
+	// block.
+	Traffic func(written, read int)
 	// TLS configures https; nil means the system's roots.
 	TLS *tls.Config
 }
@@ -70,7 +73,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &trackedConn{Conn: conn}, nil
+		return &trackedConn{Conn: conn, traffic: options.Traffic}, nil
 	}
 	return &Sender{transport: &http.Transport{
 		DialContext:            dial,
@@ -101,6 +104,9 @@
 	return response, nil
 }
 
+// RoundTrip implements http.RoundTripper as Do.
+func (s *Sender) RoundTrip(request *http.Request) (*http.Response, error) { return s.Do(request) }
+
 // preventReplay gives the request a body without GetBody. net/http repeats a request on its own when the body is empty or
 // can be rewound and the method is idempotent or an Idempotency-Key header is set.
 func preventReplay(request *http.Request) {
--- a/internal/platform/httpclient/client.go
+++ b/internal/platform/httpclient/client.go
@@ -37,6 +37,8 @@
 	Instance string
 	// MaxConns bounds the connections; default 64.
 	MaxConns int
+	// Traffic is told the bytes written and read; nil counts nothing.
+	Traffic func(written, read int)
 }
 
 // Client speaks to the platform's services.
@@ -66,7 +68,7 @@
 		base:     strings.TrimRight(options.BaseURL, "/"),
 		instance: options.Instance,
 		timeout:  options.Timeout,
-		sender:   httpsend.New(httpsend.Options{MaxConnsPerHost: options.MaxConns}),
+		sender:   httpsend.New(httpsend.Options{MaxConnsPerHost: options.MaxConns, Traffic: options.Traffic}),
 	}, nil
 }
 
