--- a/internal/limit/summary.go
+++ b/internal/limit/summary.go
@@ -9,7 +9,7 @@
 	// The rest is there for instances that have just started.
 	spread = 0.75
 	// overlap is the factor of the limit up to which shares that are about to end and shares that replace them may add up.
-	// The wanted shares add up to the limit. Without the overlap, noise in the demand kept 5% of the limit idle.
+	// The wanted shares add up to the limit. In a trial without the overlap, noise in the demand kept 5% of the limit idle.
 	overlap = 1.04
 	// summaryAge is the age up to which a summary is used, so that the cost of the sums does not grow with the number of
 	// reports.
@@ -57,7 +57,7 @@
 
 // target returns the share that an instance with the demand should have: in proportion to its demand when the heard instances
 // ask for more than there is, so that each refuses the same part; else its demand with headroom and an equal part of what is
-// unused. Max-min shares were tried: exact under equal demand, but 12% of the limit stayed idle under skewed demand, because
+// unused. In a trial, max-min shares were exact under equal demand, but 12% of the limit stayed idle under skewed demand, because
 // the many instances below the common level keep their headroom.
 func (s *summary) target(demand Rates) Rates {
 	return Rates{
