--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -32,6 +32,7 @@
 	limits := Limits{Rates: Rates{Requests: 60}}
 	l := NewLocal("a", start)
 	l.SetInstances(6)
+	admitted(l, limits, Need{}, 1, start)
 	if n := admitted(l, limits, Need{}, 10, start.Add(Validity/2)); n != 0 {
 		t.Errorf("%d requests admitted before the first grant", n)
 	}
@@ -134,3 +135,25 @@
 		t.Errorf("holds %g requests/s, want the grant of 7", got)
 	}
 }
+
+// Guards against shares that add up to more than the limit while an instance still uses an earlier, larger share, and
+// against nothing kept back for an instance that is not heard.
+func TestRoomBesideHeldShares(t *testing.T) {
+	a := NewAllocator()
+	limits := fixed(Limits{Rates: Rates{Requests: 60}})
+	ask := func(id string, demand, held float64, now time.Time) float64 {
+		d := api.Demand{Organisation: "o", RequestsPerSecond: demand, Holds: true, HeldRequestsPerSecond: held, Day: dayOf(now)}
+		report := api.DemandReport{Incarnation: id, Demands: []api.Demand{d}}
+		return a.Report(report, []string{"a", "b", "c"}, limits, now).Grants[0].RequestsPerSecond
+	}
+	now := start
+	for range 4 {
+		ask("a", 100, 40, now)
+		ask("b", 0, 0, now)
+		now = now.Add(time.Second)
+	}
+	ask("a", 100, 40, now)
+	if got, most := ask("b", 100, 0, now), 60*overlap-40-20; got > most+1e-9 {
+		t.Errorf("granted %g beside a share of 40 and an unheard instance, want at most %g", got, most)
+	}
+}
