--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 TOOL := $(GO) tool -modfile=tools/go.mod
 
-.PHONY: help build generate check-generate fmt-check lint test ci demo
+.PHONY: help build generate check-generate fmt-check lint test model model-mutants ci demo
 
 help: ## List the targets.
 	@grep -hE '^[a-z-]+:.*## ' $(MAKEFILE_LIST) | sed 's/:.*## /: /'
@@ -29,7 +29,13 @@
 test: ## Run every test with the race detector and the lock-order check.
 	$(GO) test -race -tags lockcheck -count=1 ./...
 
-ci: fmt-check lint check-generate test ## Run everything that CI runs.
+model: ## Check the models of the core protocol exhaustively (needs spin and gcc).
+	test/model/run.sh models
+
+model-mutants: ## Check that each rule of the models is needed: every mutant must have a counter-example.
+	test/model/run.sh mutants
+
+ci: fmt-check lint check-generate test model model-mutants ## Run everything that CI runs.
 
 demo: build ## Start instances and stand-ins on loopback, send requests and print what happened.
 	scripts/demo.sh
