--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 TOOL := $(GO) tool -modfile=tools/go.mod
 
-.PHONY: help build generate check-generate fmt-check lint test ci demo matrix matrix-mutants bench-policy
+.PHONY: help build generate check-generate fmt-check lint test model model-mutants matrix matrix-mutants ci demo bench-policy
 
 help: ## List the targets.
 	@grep -hE '^[a-z-]+:.*## ' $(MAKEFILE_LIST) | sed 's/:.*## /: /'
@@ -35,7 +35,13 @@
 matrix-mutants: ## Break one mechanism at a time; fails if a cell of the matrix does not notice.
 	$(GO) test -count=1 -v -run 'TestMutants$$' ./internal/matrix
 
-ci: fmt-check lint check-generate test ## Run everything that CI runs.
+model: ## Check the models of the core protocol exhaustively (needs spin and gcc).
+	test/model/run.sh models
+
+model-mutants: ## Check that each rule of the models is needed: every mutant must have a counter-example.
+	test/model/run.sh mutants
+
+ci: fmt-check lint check-generate test model model-mutants ## Run everything that CI runs.
 
 demo: build ## Start instances and stand-ins on loopback, send requests and print what happened.
 	scripts/demo.sh
--- /dev/null
+++ b/internal/fleet/poll_bench_test.go
@@ -0,0 +1,47 @@
+package fleet
+
+import (
+	"fmt"
+	"log/slog"
+	"testing"
+
+	"github.com/cicadawall/cicadawall/internal/api"
+	"github.com/cicadawall/cicadawall/internal/platform/memory"
+	"github.com/cicadawall/cicadawall/internal/routing"
+	"github.com/cicadawall/cicadawall/internal/table"
+)
+
+func benchFleet(servers, instances int) (*Fleet, *table.Servers) {
+	list := &memory.Instances{}
+	var entries []api.InstanceEntry
+	for i := range servers {
+		entries = append(entries, api.InstanceEntry{Id: fmt.Sprintf("server-%d", i), Kind: api.KindEngine, AvailabilityZone: fmt.Sprintf("z%d", i%8),
+			State: api.InstanceLive, Versions: []api.LoadedVersion{{Model: "m", Version: fmt.Sprintf("v%d", i%34)}}})
+	}
+	list.Set(entries, nil)
+	var members []routing.Member
+	for i := range instances {
+		members = append(members, routing.Member{ID: fmt.Sprintf("i%d", i), Zone: fmt.Sprintf("z%d", i%8)})
+	}
+	rows := table.NewServers()
+	return New(Options{Servers: rows, Prefixes: routing.NewPrefixIndex(1000), Instances: list, Log: slog.New(slog.DiscardHandler),
+		Instance: "i0", AvailabilityZone: "z0", Members: func() []routing.Member { return members }, SubsetSize: 24}), rows
+}
+
+// BenchmarkPollUnchanged measures a poll of a list that has not changed, which an instance makes every 2 s.
+func BenchmarkPollUnchanged(b *testing.B) {
+	for _, size := range []struct{ servers, instances int }{{18, 7}, {275, 100}, {1100, 410}} {
+		b.Run(fmt.Sprintf("servers=%d,instances=%d", size.servers, size.instances), func(b *testing.B) {
+			fleet, _ := benchFleet(size.servers, size.instances)
+			if err := fleet.PollList(b.Context()); err != nil {
+				b.Fatal(err)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				if err := fleet.PollList(b.Context()); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- a/internal/platform/httpclient/client.go
+++ b/internal/platform/httpclient/client.go
@@ -47,6 +47,7 @@
 	instance string
 	timeout  time.Duration
 	sender   *httpsend.Sender
+	list     *instanceList
 }
 
 // New returns a client. It fails if the base URL is not an absolute HTTP URL.
@@ -64,12 +65,14 @@
 	if options.MaxConns == 0 {
 		options.MaxConns = defaultMaxConns
 	}
-	return &Client{
+	client := &Client{
 		base:     strings.TrimRight(options.BaseURL, "/"),
 		instance: options.Instance,
 		timeout:  options.Timeout,
 		sender:   httpsend.New(httpsend.Options{MaxConnsPerHost: options.MaxConns, Traffic: options.Traffic}),
-	}, nil
+	}
+	client.list = newInstanceList(client)
+	return client, nil
 }
 
 // Services returns the client as the bundle of all services.
@@ -77,7 +80,7 @@
 	return platform.Services{
 		Table:     tableService{c},
 		Objects:   objectStore{c},
-		Instances: instanceList{c},
+		Instances: c.list,
 		Ratings:   ratingService{c},
 		Weights:   weightStore{c},
 	}
@@ -95,12 +98,15 @@
 	body   []byte
 	json   bool
 	write  bool
+	// ifNoneMatch is the entity tag of the copy that the caller has; empty asks for the whole.
+	ifNoneMatch string
 }
 
 // reply is a definite answer: a status below 500 other than 429, or any status for which the caller asked.
 type reply struct {
 	status int
 	body   []byte
+	etag   string
 }
 
 // lost returns the typed error for a call that may have reached the service and got no definite answer.
@@ -140,7 +146,7 @@
 	if len(body) > maxReplyBytes {
 		return reply{}, call.fail(call.lost(), "reply is too large")
 	}
-	return reply{status: response.StatusCode, body: body}, nil
+	return reply{status: response.StatusCode, body: body, etag: response.Header.Get("ETag")}, nil
 }
 
 func (c *Client) request(ctx context.Context, call call) (*http.Request, error) {
@@ -155,6 +161,9 @@
 	if call.json {
 		request.Header.Set("Content-Type", "application/json")
 	}
+	if call.ifNoneMatch != "" {
+		request.Header.Set("If-None-Match", call.ifNoneMatch)
+	}
 	if c.instance != "" {
 		request.Header.Set(InstanceHeader, c.instance)
 	}
--- /dev/null
+++ b/internal/platform/httpclient/list_test.go
@@ -0,0 +1,56 @@
+package httpclient
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	standin "github.com/cicadawall/cicadawall/internal/standin/platform"
+)
+
+// Guards against a poll that carries the whole list although it has not changed, and against a copy that outlives a change.
+func TestListIsReadOnlyWhenItChanged(t *testing.T) {
+	listener := httptest.NewServer(standin.New(1))
+	defer listener.Close()
+	var received atomic.Int64
+	client, err := New(Options{BaseURL: listener.URL, Timeout: time.Second, Traffic: func(_, read int) { received.Add(int64(read)) }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	add := func(from, to int) {
+		for i := from; i < to; i++ {
+			id := fmt.Sprintf("server-%d", i)
+			body := fmt.Sprintf(`{"id":%q,"kind":"engine","ip":"127.0.0.1","port":1,"availabilityZone":"a","state":"live"}`, id)
+			request, err := http.NewRequestWithContext(t.Context(), http.MethodPut, listener.URL+"/standin/v1/list/"+id, strings.NewReader(body))
+			if err != nil {
+				t.Fatal(err)
+			}
+			request.Header.Set("Content-Type", "application/json")
+			response, err := http.DefaultClient.Do(request)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = response.Body.Close()
+		}
+	}
+	list := func(want int) int64 {
+		before := received.Load()
+		entries, err := client.Services().Instances.List(t.Context())
+		if err != nil || len(entries) != want {
+			t.Fatalf("%d entries, %v, want %d", len(entries), err, want)
+		}
+		return received.Load() - before
+	}
+	add(0, 500)
+	whole := list(500)
+	if unchanged := list(500); unchanged > whole/20 {
+		t.Errorf("an unchanged list took %d bytes, the whole one %d", unchanged, whole)
+	}
+	add(500, 501)
+	list(501)
+}
--- a/internal/platform/httpclient/services.go
+++ b/internal/platform/httpclient/services.go
@@ -30,15 +30,6 @@
 	return call.decode(reply, into)
 }
 
-type instanceList struct{ client *Client }
-
-// List implements platform.Instances. Error: ErrUnavailable.
-func (l instanceList) List(ctx context.Context) ([]api.InstanceEntry, error) {
-	var list api.InstanceList
-	err := l.client.get(ctx, call{step: "list instances", path: instancesPath}, &list)
-	return list.Entries, err
-}
-
 type ratingService struct{ client *Client }
 
 // Submit implements platform.Ratings. Errors: ErrUnavailable, ErrAmbiguous.
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -3,12 +3,15 @@
 package platform
 
 import (
+	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/labstack/echo/v4"
 
 	"github.com/cicadawall/cicadawall/internal/api"
@@ -132,10 +135,24 @@
 	case api.ListUnreachable:
 		common.CloseConnection()
 	case api.ListEmpty:
-		return c.JSON(http.StatusOK, api.InstanceList{Entries: []api.InstanceEntry{}})
+		return writeList(c, []api.InstanceEntry{})
 	}
 	lag := time.Duration(faults.ListLagMillis) * time.Millisecond
-	return c.JSON(http.StatusOK, api.InstanceList{Entries: s.list.shown(faults.List == api.ListFrozen, time.Now().Add(-lag))})
+	return writeList(c, s.list.shown(faults.List == api.ListFrozen, time.Now().Add(-lag)))
+}
+
+// writeList answers with the list and its entity tag, or with 304 if the caller has this list.
+func writeList(c echo.Context, entries []api.InstanceEntry) error {
+	body, err := json.Marshal(api.InstanceList{Entries: entries})
+	if err != nil {
+		return err
+	}
+	etag := fmt.Sprintf("%q", strconv.FormatUint(xxhash.Sum64(body), 16))
+	c.Response().Header().Set("ETag", etag)
+	if c.Request().Header.Get("If-None-Match") == etag {
+		return c.NoContent(http.StatusNotModified)
+	}
+	return c.JSONBlob(http.StatusOK, body)
 }
 
 func (s *Server) submitRating(c echo.Context) error {
