Name prompt blocks by one scheme in router and engines

The router's index and the engine stand-in rendered prompts and hashed blocks in two ways, so no cache event could name a block of the index. internal/engine/prefix is now the only scheme; routing keeps the index.

--- a/internal/benchpolicy/dispatch.go
+++ b/internal/benchpolicy/dispatch.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"github.com/cicadawall/cicadawall/internal/cascade"
+	"github.com/cicadawall/cicadawall/internal/engine/prefix"
 	"github.com/cicadawall/cicadawall/internal/rollout"
-	"github.com/cicadawall/cicadawall/internal/routing"
 )
 
 const (
@@ -201,11 +201,11 @@
 }
 
 // cacheEvents tells the instances what an engine evicted, late and with losses.
-func (w *world) cacheEvents(server int, evicted []routing.Block) {
+func (w *world) cacheEvents(server int, evicted []prefix.Block) {
 	if len(evicted) == 0 || w.rng.Float64() < cacheEventLoss {
 		return
 	}
-	blocks := append([]routing.Block(nil), evicted...)
+	blocks := append([]prefix.Block(nil), evicted...)
 	w.at(w.now+cacheEventLag, func() {
 		for _, in := range w.instances {
 			in.index.Evicted(w.servers[server].id, blocks)
--- a/internal/benchpolicy/server.go
+++ b/internal/benchpolicy/server.go
@@ -5,7 +5,7 @@
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
-	"github.com/cicadawall/cicadawall/internal/routing"
+	"github.com/cicadawall/cicadawall/internal/engine/prefix"
 )
 
 // cacheBlocks bounds the prefix cache of a fake engine: 20 of the shared beginnings.
@@ -36,14 +36,14 @@
 	model   int
 	running int
 	queue   []*attempt
-	cache   *simplelru.LRU[routing.Block, struct{}]
-	evicted []routing.Block
+	cache   *simplelru.LRU[prefix.Block, struct{}]
+	evicted []prefix.Block
 }
 
 func newServer(id, zone string, model int) *server {
 	s := &server{id: id, zone: zone, model: model}
 	// NewLRU fails only for a size below 1.
-	s.cache, _ = simplelru.NewLRU(cacheBlocks, func(b routing.Block, _ struct{}) { s.evicted = append(s.evicted, b) })
+	s.cache, _ = simplelru.NewLRU(cacheBlocks, func(b prefix.Block, _ struct{}) { s.evicted = append(s.evicted, b) })
 	return s
 }
 
--- a/internal/benchpolicy/world.go
+++ b/internal/benchpolicy/world.go
@@ -12,6 +12,7 @@
 
 	"github.com/cicadawall/cicadawall/internal/cascade"
 	"github.com/cicadawall/cicadawall/internal/declaration"
+	"github.com/cicadawall/cicadawall/internal/engine/prefix"
 	"github.com/cicadawall/cicadawall/internal/rollout"
 	"github.com/cicadawall/cicadawall/internal/routing"
 )
@@ -102,7 +103,7 @@
 	sequence  int
 	servers   []*server
 	instances []*instance
-	blocks    [][][]routing.Block // by model and prefix
+	blocks    [][][]prefix.Block // by model and prefix
 	weights   []float64
 	evidence  *cascade.Evidence
 	ratings   *rollout.Evidence
@@ -147,10 +148,10 @@
 		w.reportEvery = reportInterval
 	}
 	for m := range r.site.models {
-		chains := make([][]routing.Block, r.site.prefixes)
+		chains := make([][]prefix.Block, r.site.prefixes)
 		for p := range chains {
 			text := strings.Repeat(fmt.Sprintf("%-256d", p), r.site.classes[0].prefixBlocks)
-			chains[p] = routing.Blocks(r.site.models[m].version, text)
+			chains[p] = prefix.Blocks(r.site.models[m].version, text)
 		}
 		w.blocks = append(w.blocks, chains)
 		for range r.site.models[m].servers {
@@ -250,7 +251,7 @@
 	return len(weights) - 1
 }
 
-func (w *world) prefixBlocks(model, prefix int) []routing.Block {
+func (w *world) prefixBlocks(model, prefix int) []prefix.Block {
 	if prefix < 0 {
 		return nil
 	}
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -281,15 +280,3 @@
 	j.router.Planner.ObserveFirstToken(id, took)
 	j.router.Retries.Budgets.ObserveFirstToken(j.class.Name, took, time.Now())
 }
-
-// promptText joins the messages of a request for the prefix index.
-func promptText(messages []api.ChatMessage) string {
-	var text strings.Builder
-	for _, message := range messages {
-		text.WriteString(message.Role)
-		text.WriteByte('\n')
-		text.WriteString(message.Content)
-		text.WriteByte('\n')
-	}
-	return text.String()
-}
--- a/internal/dispatch/servers.go
+++ b/internal/dispatch/servers.go
@@ -7,6 +7,7 @@
 
 	"github.com/cicadawall/cicadawall/internal/api"
 	"github.com/cicadawall/cicadawall/internal/declaration"
+	"github.com/cicadawall/cicadawall/internal/engine/prefix"
 	"github.com/cicadawall/cicadawall/internal/fault"
 	"github.com/cicadawall/cicadawall/internal/order"
 	"github.com/cicadawall/cicadawall/internal/retry"
@@ -37,7 +38,7 @@
 	for i := range rows {
 		candidates = append(candidates, candidate(&rows[i]))
 	}
-	blocks := routing.Blocks(id, promptText(messages))
+	blocks := prefix.Blocks(id, prefix.Render(messages))
 	r.Prefixes.Mark(candidates, blocks)
 	request := routing.Request{Version: id, Zone: r.AvailabilityZone, Exclude: tried}
 	now := time.Now()
--- a/internal/routing/prefix.go
+++ b/internal/routing/prefix.go
@@ -1,68 +1,27 @@
 package routing
 
 import (
-	"encoding/binary"
-	"fmt"
 	"slices"
-	"strconv"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/golang-lru/v2/simplelru"
-	"github.com/pkg/errors"
 
-	"github.com/cicadawall/cicadawall/internal/declaration"
+	"github.com/cicadawall/cicadawall/internal/engine/prefix"
 	"github.com/cicadawall/cicadawall/internal/lockorder"
 )
 
-const (
-	// BlockBytes is the size of a prompt block. 256 bytes are about 64 tokens of English text, a few engine cache pages.
-	BlockBytes = 256
-	// maxBlocks bounds the chain of one prompt; 256 blocks are 64 KiB of prompt.
-	maxBlocks = 256
-	// holdersPerBlock bounds the servers remembered for a block; the oldest entry is replaced.
-	holdersPerBlock = 8
-)
-
-// Block identifies a prompt block together with everything before it and the version.
-type Block uint64
-
-// String returns the block as cache events carry it.
-func (b Block) String() string { return fmt.Sprintf("%016x", uint64(b)) }
-
-// ParseBlock reads a block of a cache event.
-func ParseBlock(text string) (Block, error) {
-	value, err := strconv.ParseUint(text, 16, 64)
-	if err != nil {
-		return 0, errors.Wrapf(err, "block hash %q", text)
-	}
-	return Block(value), nil
-}
-
-// Blocks returns the hash chain of the full blocks of the prompt, at most 256. Each hash covers the version and all blocks before it.
-func Blocks(version declaration.VersionID, prompt string) []Block {
-	count := min(len(prompt)/BlockBytes, maxBlocks)
-	chain := make([]Block, 0, count)
-	previous := xxhash.Sum64String(version.String())
-	var buf [8 + BlockBytes]byte
-	for i := range count {
-		binary.LittleEndian.PutUint64(buf[:8], previous)
-		copy(buf[8:], prompt[i*BlockBytes:(i+1)*BlockBytes])
-		previous = xxhash.Sum64(buf[:])
-		chain = append(chain, Block(previous))
-	}
-	return chain
-}
+// holdersPerBlock bounds the servers remembered for a block; the oldest entry is replaced.
+const holdersPerBlock = 8
 
 // PrefixIndex remembers which servers probably hold which blocks. It learns from requests sent and is corrected by cache
 // events, which arrive late and with gaps. It is safe for concurrent use.
 type PrefixIndex struct {
 	mu     *lockorder.Mutex
-	blocks *simplelru.LRU[Block, []string]
+	blocks *simplelru.LRU[prefix.Block, []string]
 }
 
 // NewPrefixIndex returns an index of at most the given number of blocks, at least 1.
 func NewPrefixIndex(capacity int) *PrefixIndex {
-	lru, err := simplelru.NewLRU[Block, []string](max(1, capacity), nil)
+	lru, err := simplelru.NewLRU[prefix.Block, []string](max(1, capacity), nil)
 	if err != nil {
 		panic(err) // NewLRU fails only for a capacity below 1.
 	}
@@ -70,7 +29,7 @@
 }
 
 // Stored records that the server holds the blocks, after a request was sent there or by its cache event.
-func (x *PrefixIndex) Stored(server string, blocks []Block) {
+func (x *PrefixIndex) Stored(server string, blocks []prefix.Block) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	for _, block := range blocks {
@@ -86,7 +45,7 @@
 }
 
 // Evicted records that the server no longer holds the blocks.
-func (x *PrefixIndex) Evicted(server string, blocks []Block) {
+func (x *PrefixIndex) Evicted(server string, blocks []prefix.Block) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	for _, block := range blocks {
@@ -103,7 +62,7 @@
 	}
 }
 
-func (x *PrefixIndex) drop(block Block, server string) {
+func (x *PrefixIndex) drop(block prefix.Block, server string) {
 	holders, ok := x.blocks.Peek(block)
 	if !ok {
 		return
@@ -117,7 +76,7 @@
 }
 
 // Mark sets CachedBlocks of each candidate to the number of leading blocks that the server holds.
-func (x *PrefixIndex) Mark(candidates []Candidate, blocks []Block) {
+func (x *PrefixIndex) Mark(candidates []Candidate, blocks []prefix.Block) {
 	for i := range candidates {
 		candidates[i].CachedBlocks = 0
 	}
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -3,13 +3,13 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"strings"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/cicadawall/cicadawall/internal/declaration"
+	"github.com/cicadawall/cicadawall/internal/engine/prefix"
 )
 
 var (
@@ -72,29 +72,13 @@
 	}
 }
 
-// Guards against a block that is found after another beginning or under another version.
-func TestBlocksChainAndVersion(t *testing.T) {
-	head, tail := strings.Repeat("h", BlockBytes), strings.Repeat("t", BlockBytes)
-	chain := Blocks(v1, head+tail+"rest")
-	if len(chain) != 2 {
-		t.Fatalf("%d blocks, want 2", len(chain))
-	}
-	if chain[1] == Blocks(v1, tail+tail)[1] || chain[0] == Blocks(v2, head)[0] {
-		t.Fatal("hash ignores the prefix or the version")
-	}
-	parsed, err := ParseBlock(chain[0].String())
-	if err != nil || parsed != chain[0] {
-		t.Fatalf("parsed %v, %v", parsed, err)
-	}
-}
-
 // Guards against an index that keeps evicted blocks, grows without bound or counts blocks after a hole.
 func TestPrefixIndexFollowsEvents(t *testing.T) {
 	index := NewPrefixIndex(4)
-	chain := []Block{1, 2, 3}
+	chain := []prefix.Block{1, 2, 3}
 	index.Stored("a", chain)
 	index.Stored("b", chain)
-	index.Evicted("a", []Block{2})
+	index.Evicted("a", []prefix.Block{2})
 	candidates := []Candidate{{ID: "a"}, {ID: "b"}}
 	index.Mark(candidates, chain)
 	if candidates[0].CachedBlocks != 1 || candidates[1].CachedBlocks != 3 {
@@ -105,7 +89,7 @@
 	if candidates[1].CachedBlocks != 0 {
 		t.Fatal("forgotten server still holds blocks")
 	}
-	index.Stored("a", []Block{4, 5, 6, 7, 8})
+	index.Stored("a", []prefix.Block{4, 5, 6, 7, 8})
 	if index.Len() != 4 {
 		t.Fatalf("%d blocks, want the bound of 4", index.Len())
 	}
--- a/internal/routing/scorer.go
+++ b/internal/routing/scorer.go
@@ -7,7 +7,7 @@
 	loadDelay = 100 * time.Millisecond
 	// queueDelay is the further delay for each batch that waits, about the service time of one request.
 	queueDelay = 2 * time.Second
-	// blockSaving is the prefill time that one cached block of BlockBytes saves.
+	// blockSaving is the prefill time that one cached block of prefix.BlockBytes saves.
 	blockSaving = 8 * time.Millisecond
 	// crossZoneDelay is one round trip between availability zones, at 1.5 ms one way.
 	crossZoneDelay = 3 * time.Millisecond
--- a/internal/standin/engine/completions.go
+++ b/internal/standin/engine/completions.go
@@ -11,6 +11,7 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/cicadawall/cicadawall/internal/api"
+	"github.com/cicadawall/cicadawall/internal/declaration"
 	"github.com/cicadawall/cicadawall/internal/engine/prefix"
 	"github.com/cicadawall/cicadawall/internal/standin/common"
 )
@@ -74,7 +75,7 @@
 func (s *Server) run(c echo.Context, done *completion) error {
 	ctx, cancel := context.WithCancel(c.Request().Context())
 	defer cancel()
-	blocks := prefix.Blocks(done.version.Model, done.version.Version, done.prompt)
+	blocks := blockNames(done.version, done.prompt)
 	sequence := s.sequence(ctx, done, blocks)
 	s.registry.add(done.id, cancel, blocks)
 	sequence.priority, _ = strconv.Atoi(c.Request().Header.Get(priorityHeader))
@@ -95,6 +96,16 @@
 	return s.whole(c, done, sequence)
 }
 
+// blockNames returns the names of the prompt's blocks as the cache events carry them.
+func blockNames(version api.EngineStandinVersion, prompt string) []string {
+	blocks := prefix.Blocks(declaration.VersionID{Model: version.Model, Version: version.Version}, prompt)
+	names := make([]string, 0, len(blocks))
+	for _, block := range blocks {
+		names = append(names, block.String())
+	}
+	return names
+}
+
 // sequence computes the work of the completion. Cached blocks need no prefill, and neither do the tokens of a resumed
 // answer if this engine has the KV cache of the completion.
 func (s *Server) sequence(ctx context.Context, done *completion, blocks []string) *sequence {
