Correct the prefix index by the engines' cache events

The index learnt only from requests sent, so an evicted prefix went on attracting requests. The admin adapter got a page limit, a read of the newest events and the last number that can be read.

--- a/internal/api/engine.gen.go
+++ b/internal/api/engine.gen.go
@@ -55,7 +55,12 @@
 // CacheEvents defines model for CacheEvents.
 type CacheEvents struct {
 	Events []CacheEvent `json:"events" yaml:"events"`
-	Next   int64        `json:"next" yaml:"next"`
+
+	// Last Highest sequence number that can be read now. A value below the one asked after means that the engine restarted.
+	Last int64 `json:"last" yaml:"last"`
+
+	// Next Sequence number of the last event sent; the value of after if there is none.
+	Next int64 `json:"next" yaml:"next"`
 }
 
 // CancelRequest defines model for CancelRequest.
@@ -119,6 +124,15 @@
 	Version string `json:"version" yaml:"version"`
 }
 
+// ListCacheEventsParams defines parameters for ListCacheEvents.
+type ListCacheEventsParams struct {
+	// After Sequence number after which events are wanted. Without it the newest events are sent.
+	After int `form:"after,omitempty" json:"after,omitempty" yaml:"after,omitempty"`
+
+	// Limit Number of blocks after which no further event is added to the reply. Without it all events are sent.
+	Limit int `form:"limit,omitempty" json:"limit,omitempty" yaml:"limit,omitempty"`
+}
+
 // CreateEngineCompletionParams defines parameters for CreateEngineCompletion.
 type CreateEngineCompletionParams struct {
 	// XCicadawallCompletionId Id that the chunks carry and that cancel names.
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -135,6 +135,7 @@
 		Prefixes:         i.prefixes,
 		Instances:        i.services.Instances,
 		Loads:            engines,
+		Caches:           engines,
 		Log:              i.log,
 		Instance:         i.incarnation,
 		AvailabilityZone: i.set.Instance.AvailabilityZone,
--- a/internal/app/backends.go
+++ b/internal/app/backends.go
@@ -88,6 +88,11 @@
 	return report.Load, report.At, nil
 }
 
+// CacheEvents implements fleet.CacheReader.
+func (e *engines) CacheEvents(ctx context.Context, server table.Server, after int64, limit int) (api.CacheEvents, error) {
+	return e.client.CacheEvents(ctx, peerOf(server.Entry), after, limit)
+}
+
 // chunks adapts an engine's stream. Its context was given at the start.
 type chunks struct {
 	answer *engine.Stream
--- a/internal/engine/admin.go
+++ b/internal/engine/admin.go
@@ -86,9 +86,16 @@
 	return report, nil
 }
 
-// CacheEvents reads the cache events after the sequence number. They are late and may have gaps.
-func (c *Client) CacheEvents(ctx context.Context, peer string, after int64) (api.CacheEvents, error) {
-	path := "/admin/cache-events?after=" + strconv.FormatInt(after, 10)
+// NewestEvents asks CacheEvents for the newest events.
+const NewestEvents int64 = -1
+
+// CacheEvents reads cache events after the sequence number, or the newest ones. They are late and may have gaps. The reply
+// ends with the event that brings the number of blocks to limit; 0 means no limit.
+func (c *Client) CacheEvents(ctx context.Context, peer string, after int64, limit int) (api.CacheEvents, error) {
+	path := "/admin/cache-events?limit=" + strconv.Itoa(limit)
+	if after != NewestEvents {
+		path += "&after=" + strconv.FormatInt(after, 10)
+	}
 	call := exchange{step: "cache events", peer: peer, method: http.MethodGet, path: path}
 	var events api.CacheEvents
 	err := call.json(ctx, c.admin, nil, &events)
--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -291,7 +291,7 @@
 	if err := client.ImportKV(t.Context(), otherPeer, cache); err != nil {
 		t.Fatal(err)
 	}
-	events, err := client.CacheEvents(t.Context(), otherPeer, 0)
+	events, err := client.CacheEvents(t.Context(), otherPeer, 0, 0)
 	if err != nil || len(events.Events) != 1 || len(events.Events[0].Blocks) != 3 {
 		t.Fatalf("cache events after the import: %+v, %v, want 3 blocks stored", events, err)
 	}
--- a/internal/fleet/list.go
+++ b/internal/fleet/list.go
@@ -18,8 +18,9 @@
 
 // Names of the periodic duties.
 const (
-	DutyList = "backend-server-list"
-	DutyLoad = "backend-server-load"
+	DutyList  = "backend-server-list"
+	DutyLoad  = "backend-server-load"
+	DutyCache = "backend-server-cache-events"
 )
 
 const (
@@ -35,12 +36,20 @@
 	Load(ctx context.Context, server table.Server) (api.EngineLoad, time.Time, error)
 }
 
+// CacheReader reads the cache events of an engine.
+type CacheReader interface {
+	// CacheEvents returns events after the sequence number, or the newest ones for engine.NewestEvents, until they name
+	// limit blocks.
+	CacheEvents(ctx context.Context, server table.Server, after int64, limit int) (api.CacheEvents, error)
+}
+
 // Options are the parts that a fleet works with.
 type Options struct {
 	Servers   *table.Servers
 	Prefixes  *routing.PrefixIndex
 	Instances platform.Instances
 	Loads     LoadReader
+	Caches    CacheReader
 	Log       *slog.Logger
 	// Instance and AvailabilityZone name this instance for the choice of its subset.
 	Instance         string
@@ -61,11 +70,13 @@
 	// assigned holds the engines of this instance's subsets for the inputs with the fingerprint assignedFor.
 	assigned    []string
 	assignedFor uint64
+	// cursors holds the position in the cache events of the engines that were used lately. Only PollCaches uses it.
+	cursors map[string]cursor
 }
 
 // New returns a fleet without servers.
 func New(opts Options) *Fleet {
-	return &Fleet{opts: opts, known: map[string]api.InstanceEntry{}}
+	return &Fleet{opts: opts, known: map[string]api.InstanceEntry{}, cursors: map[string]cursor{}}
 }
 
 // Duties returns the periodic duties.
@@ -73,6 +84,7 @@
 	return []worker.Duty{
 		{Name: DutyList, Interval: worker.Every(f.opts.ListInterval), Timeout: listTimeout, Run: f.PollList},
 		{Name: DutyLoad, Interval: worker.Every(f.opts.LoadInterval), Timeout: loadTimeout, Run: f.PollLoads},
+		{Name: DutyCache, Interval: worker.Every(cacheInterval), Timeout: cacheTimeout, Run: f.PollCaches},
 	}
 }
 
--- a/internal/standin/engine/admin.go
+++ b/internal/standin/engine/admin.go
@@ -27,8 +27,12 @@
 }
 
 func (s *Server) cacheEvents(c echo.Context) error {
-	after, _ := strconv.ParseInt(c.QueryParam("after"), 10, 64)
-	return c.JSON(http.StatusOK, s.cache.eventsAfter(after, time.Now()))
+	limit, _ := strconv.Atoi(c.QueryParam("limit"))
+	after, err := strconv.ParseInt(c.QueryParam("after"), 10, 64)
+	if err != nil {
+		return c.JSON(http.StatusOK, s.cache.newest(limit, time.Now()))
+	}
+	return c.JSON(http.StatusOK, s.cache.eventsAfter(after, limit, time.Now()))
 }
 
 func (s *Server) command(c echo.Context) error {
--- a/internal/standin/engine/cache.go
+++ b/internal/standin/engine/cache.go
@@ -77,18 +77,50 @@
 	}
 }
 
-// eventsAfter returns the events after the sequence number that are ready.
-func (t *cacheTable) eventsAfter(after int64, now time.Time) api.CacheEvents {
+// eventsAfter returns the events after the sequence number that are ready, until they name limit blocks; 0 means no limit.
+func (t *cacheTable) eventsAfter(after int64, limit int, now time.Time) api.CacheEvents {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	result := api.CacheEvents{Events: []api.CacheEvent{}, Next: after}
 	start := sort.Search(len(t.events), func(i int) bool { return t.events[i].event.Sequence > after })
-	for _, late := range t.events[start:] {
-		if now.Before(late.ready) {
+	result := t.readLocked(start, limit, now)
+	if len(result.Events) == 0 {
+		result.Next = after
+	}
+	return result
+}
+
+// newest returns the last events that are ready and name at most limit blocks, at least one event.
+func (t *cacheTable) newest(limit int, now time.Time) api.CacheEvents {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	start := t.readyLocked(now)
+	blocks := 0
+	for start > 0 {
+		blocks += len(t.events[start-1].event.Blocks)
+		if limit > 0 && blocks > limit && start < t.readyLocked(now) {
 			break
 		}
-		result.Events = append(result.Events, late.event)
-		result.Next = late.event.Sequence
+		start--
+	}
+	return t.readLocked(start, limit, now)
+}
+
+// readyLocked returns the number of events that can be read.
+func (t *cacheTable) readyLocked(now time.Time) int {
+	return sort.Search(len(t.events), func(i int) bool { return now.Before(t.events[i].ready) })
+}
+
+func (t *cacheTable) readLocked(start, limit int, now time.Time) api.CacheEvents {
+	result := api.CacheEvents{Events: []api.CacheEvent{}}
+	ready := t.readyLocked(now)
+	if ready > 0 {
+		result.Last = t.events[ready-1].event.Sequence
+	}
+	blocks := 0
+	for i := start; i < ready && (limit <= 0 || blocks < limit); i++ {
+		result.Events = append(result.Events, t.events[i].event)
+		result.Next = t.events[i].event.Sequence
+		blocks += len(t.events[i].event.Blocks)
 	}
 	return result
 }
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -124,16 +124,22 @@
 	for i := range 100 {
 		table.use([]string{strconv.Itoa(i)}, settings, now)
 	}
-	if early := table.eventsAfter(0, now.Add(499*time.Millisecond)); len(early.Events) != 0 || early.Next != 0 {
+	if early := table.eventsAfter(0, 0, now.Add(499*time.Millisecond)); len(early.Events) != 0 || early.Next != 0 {
 		t.Errorf("events before the lag: %+v", early)
 	}
-	late := table.eventsAfter(0, now.Add(500*time.Millisecond))
+	late := table.eventsAfter(0, 0, now.Add(500*time.Millisecond))
 	if len(late.Events) < 25 || len(late.Events) > 75 {
 		t.Errorf("%d of 100 events arrived, want about half", len(late.Events))
 	}
-	if rest := table.eventsAfter(late.Next, now.Add(time.Hour)); len(rest.Events) != 0 {
+	if rest := table.eventsAfter(late.Next, 0, now.Add(time.Hour)); len(rest.Events) != 0 {
 		t.Errorf("events after the last one: %+v", rest)
 	}
+	if page := table.eventsAfter(0, 3, now.Add(time.Hour)); len(page.Events) != 3 || page.Last != late.Next {
+		t.Errorf("page %+v, want 3 events and the last number %d", page, late.Next)
+	}
+	if tail := table.newest(2, now.Add(time.Hour)); len(tail.Events) != 2 || tail.Next != late.Next {
+		t.Errorf("newest events %+v, want the last 2", tail)
+	}
 }
 
 // Guards against a load report that shows the present although it says that it is old.
--- a/internal/table/servers.go
+++ b/internal/table/servers.go
@@ -16,6 +16,8 @@
 	Leaving bool
 	// InFlight is the exact number of this instance's requests on the server.
 	InFlight int
+	// LastBegin is when this instance last began an attempt on the server; zero if it never did.
+	LastBegin time.Time
 	// Load is the last load report; ReportedAt is when it held, by this instance's clock.
 	Load       api.EngineLoad
 	ReportedAt time.Time
@@ -124,6 +126,7 @@
 	}
 	row.InFlight++
 	row.SentSince++
+	row.LastBegin = time.Now()
 	return true
 }
 
