--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -70,6 +70,20 @@
 	}
 }
 
+// Guards against the first request after a change of configuration being refused by an instance that is not new, and against
+// a new instance that admits while others may use the whole limit.
+func TestNewLimitStartsWithItsBurst(t *testing.T) {
+	limits := Limits{Rates: Rates{Requests: 10}}
+	l := NewLocal("a", start)
+	if n := admitted(l, limits, Need{}, 1, start.Add(Validity/2)); n != 0 {
+		t.Error("a new instance admitted without a grant")
+	}
+	l = NewLocal("a", start)
+	if n := admitted(l, limits, Need{}, 100, start.Add(2*Validity)); n != 10 {
+		t.Errorf("%d admitted at once, want one second's worth", n)
+	}
+}
+
 // Guards against real use that is not charged when it differs from the estimate.
 func TestSettle(t *testing.T) {
 	limits := Limits{Rates: Rates{Tokens: 1000}, CostPerDay: 100}
--- a/internal/limit/local.go
+++ b/internal/limit/local.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/cicadawall/cicadawall/internal/api"
@@ -180,6 +181,11 @@
 	if !ok {
 		u = &usage{day: dayOf(now)}
 		u.asked.last, u.askedTok.last, u.paid.last = now, now, now
+		if l.alone(now) > 0 {
+			// A limit that is new to an instance that is not new itself starts with a full bucket, which refresh cuts to the
+			// burst; else the first request after a change of configuration would be refused.
+			u.requests.level, u.tokens.level = math.Inf(1), math.Inf(1)
+		}
 		l.rows[organisation] = u
 	}
 	u.limit = limit
