Move the order of a planned stop to a package of its own

The steps of app.drain could only run with real ports. The new package drain holds their order as functions, so that the fault matrix runs the same order as the binary. No change in behaviour.

--- a/internal/app/drain.go
+++ b/internal/app/drain.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/cicadawall/cicadawall/internal/drain"
 	"github.com/cicadawall/cicadawall/internal/settings"
 )
 
@@ -18,38 +19,36 @@
 	closeTimeout = 5 * time.Second
 )
 
-// drain stops the instance without cutting a request: out of the balancer first, then no new work, then the requests that
-// run, then what must be durable, then the registration.
+// drain stops the instance without cutting a request.
 func (i *Instance) drain() error {
-	i.log.Info("draining: not ready for the balancer")
-	i.ready.Store(false)
-	i.draining.Store(true)
-	timer := time.NewTimer(settings.Millis(i.set.Timing.DrainBalancerMillis))
-	<-timer.C
-
-	i.log.Info("draining: admission closed", "queued", i.queue.Stats().Length)
-	i.queue.Close()
-	ctx, cancel := context.WithTimeout(context.Background(), settings.Millis(i.set.Timing.DrainTimeoutMillis))
-	defer cancel()
-	cut := i.pool.Wait(ctx)
-	if cut != nil {
-		i.pool.Stop()
-	}
-	durable := i.makeDurable()
-	i.closeServers()
-	i.duties.Stop()
-	i.deregister()
+	err := drain.Run(drain.Steps{
+		BalancerWait: settings.Millis(i.set.Timing.DrainBalancerMillis),
+		Timeout:      settings.Millis(i.set.Timing.DrainTimeoutMillis),
+		NotReady: func() {
+			i.log.Info("draining: not ready for the balancer")
+			i.ready.Store(false)
+			i.draining.Store(true)
+		},
+		CloseAdmission: func() {
+			i.log.Info("draining: admission closed", "queued", i.queue.Stats().Length)
+			i.queue.Close()
+		},
+		Finish:      i.pool.Wait,
+		Cut:         i.pool.Stop,
+		MakeDurable: i.makeDurable,
+		Close: func() {
+			i.closeServers()
+			i.duties.Stop()
+		},
+		Deregister: i.deregister,
+	})
 	for _, closer := range i.closers {
 		closer()
 	}
-	if cut != nil {
-		return errors.Wrap(cut, "drain: requests were still running at the drain timeout")
+	if err == nil {
+		i.log.Info("drained")
 	}
-	if durable != nil {
-		return durable
-	}
-	i.log.Info("drained")
-	return nil
+	return err
 }
 
 // makeDurable writes bills and order results, or hands bills to peers when the store is unavailable.
