Add model request and configuration rows to the fault matrix

Whole instances (membership, configuration, request path, bills) run in virtual time on one table and two engines. Cells run in parallel, at most four at once. Two product faults found and fixed: a request whose earlier attempt or first cascade step had run could end as not_run when the permit of a later one was refused (the second step after a pause); and a stale read made apply answer that the base revision does not exist although it was in force at the instance.

--- a/internal/configsync/apply.go
+++ b/internal/configsync/apply.go
@@ -78,7 +78,8 @@
 		refused := unavailable(err)
 		return nil, &refused
 	}
-	baseFound := req.BaseRevision == 0
+	// A stale read may miss the base. A revision in force here is in the log.
+	baseFound := req.BaseRevision <= s.opts.Config.Revision()
 	for _, row := range rows {
 		doc, err := decodeRow(row)
 		if err != nil {
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -134,6 +134,7 @@
 		return retry.Attempt{}, server.Entry.Id, errors.Errorf("backend server %s is leaving", server.Entry.Id)
 	}
 	result, err := s.exchange(ctx, server)
+	j.ran = j.ran || retry.Outcome(result) != api.OutcomeNotRun
 	j.trace = append(j.trace, s.explain(server.Entry.Id, err))
 	failed := err != nil && retry.Failed(result) && ctx.Err() == nil
 	now := time.Now()
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -30,6 +30,8 @@
 
 	handle  string
 	started bool
+	// ran means that an attempt may have run, so that the request can no longer end as not_run.
+	ran bool
 	// firstText and lastText are the times of the first and the last text that reached the reply; zero before the first.
 	firstText time.Time
 	lastText  time.Time
@@ -46,10 +48,17 @@
 		deadline: deadlineOf(class, request.Arrived),
 		reply:    NewReply(),
 		recorder: router.Metrics.For(request.Organisation, class.Name),
-		random:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		random:   router.random(),
 	}
 }
 
+func (r *Router) random() *rand.Rand {
+	if r.Random != nil {
+		return r.Random()
+	}
+	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+}
+
 // refuse ends a request that the queue did not hand to a worker.
 func (j *modelJob) refuse(problem *fault.Error) {
 	j.end(problem)
@@ -107,11 +116,21 @@
 	answer, problem := j.runChain(ctx, plan)
 	if problem != nil {
 		j.billCut()
-		return problem
+		return j.truthful(problem)
 	}
 	return j.finish(ctx, plan, answer)
 }
 
+// truthful corrects the outcome of an error that speaks of its own attempt only: another attempt may have run before it.
+func (j *modelJob) truthful(problem *fault.Error) *fault.Error {
+	if !j.ran || problem.Outcome != api.OutcomeNotRun {
+		return problem
+	}
+	corrected := *problem
+	corrected.Outcome = api.OutcomeUnknown
+	return &corrected
+}
+
 // resolveSession returns the versions that the request may use, one for each model. A request without a session starts one
 // of its own, whose handle the caller may send back.
 func (j *modelJob) resolveSession(ctx context.Context, snapshot *declaration.Snapshot) ([]declaration.VersionID, *fault.Error) {
--- a/internal/dispatch/router.go
+++ b/internal/dispatch/router.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cicadawall/cicadawall/internal/access"
@@ -69,6 +70,8 @@
 	Traces           *Traces
 	Log              *slog.Logger
 	MaxBodyBytes     int64
+	// Random returns the random source of one request; nil stands for an unpredictable one.
+	Random func() *rand.Rand
 }
 
 // Router takes decoded requests, checks and admits them, and hands them to the worker pool.
--- a/internal/matrix/matrix.go
+++ b/internal/matrix/matrix.go
@@ -6,6 +6,8 @@
 import (
 	"fmt"
 	"strings"
+	"sync"
+	"time"
 )
 
 // Column is one kind of fault.
@@ -77,13 +79,41 @@
 	Mutant string
 	// Seed, if not zero, chooses a second fault. Only safety is checked then, because two faults may take both ways to make
 	// progress.
-	Seed     uint64
+	Seed uint64
+	// Recovery is filled by rows that send requests throughout.
+	Recovery Recovery
+
+	mu       sync.Mutex
 	injected int
 	failures []string
 }
 
+// Recovery is what the callers of a run saw.
+type Recovery struct {
+	// Measured is false if the row sends no requests throughout.
+	Measured bool
+	// After is the virtual time from the end of the fault until requests are served within target again.
+	After time.Duration
+	// Served, Refused, Unknown and Wrong count requests from the start of the fault.
+	Served, Refused, Unknown, Wrong int
+}
+
+// Recovered adds the requests of one variant of the run; the longest recovery counts.
+func (r *Run) Recovered(one Recovery) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Recovery.Measured = true
+	r.Recovery.After = max(r.Recovery.After, one.After)
+	r.Recovery.Served += one.Served
+	r.Recovery.Refused += one.Refused
+	r.Recovery.Unknown += one.Unknown
+	r.Recovery.Wrong += one.Wrong
+}
+
 // Failf records a violated invariant.
 func (r *Run) Failf(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.failures = append(r.failures, fmt.Sprintf(format, args...))
 }
 
@@ -95,7 +125,11 @@
 }
 
 // Injected records that the fault happened. A check whose fault never happens fails.
-func (r *Run) Injected() { r.injected++ }
+func (r *Run) Injected() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.injected++
+}
 
 // Broken reports whether the named mechanism is switched off.
 func (r *Run) Broken(mutant string) bool { return r.Mutant == mutant }
--- a/internal/matrix/matrix_test.go
+++ b/internal/matrix/matrix_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"sort"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 )
@@ -46,33 +47,80 @@
 	return sorted
 }
 
-// Guards against a fault at a step of a durable path that breaks an invariant or leaves it stuck, and cells without a check.
+// parallelCells bounds the cells that run at the same time, so that the matrix leaves room on the machine.
+var parallelCells = make(chan struct{}, 4)
+
+// inParallel runs the checks as subtests with the names and returns when all have ended.
+func inParallel(t *testing.T, names []string, check func(t *testing.T, i int)) {
+	t.Run("cells", func(t *testing.T) {
+		for i, name := range names {
+			t.Run(name, func(t *testing.T) {
+				t.Parallel()
+				parallelCells <- struct{}{}
+				defer func() { <-parallelCells }()
+				check(t, i)
+			})
+		}
+	})
+}
+
+// outcome is one cell after its run; run is nil if there was none.
+type outcome struct {
+	row    Row
+	cell   Cell
+	status Status
+	run    *Run
+}
+
+// runAll runs every cell that has a check and no exemption.
+func runAll(t *testing.T) []outcome {
+	var all []outcome
+	var names []string
+	for _, row := range sortedRows() {
+		for _, column := range Columns() {
+			all = append(all, outcome{row: row, cell: Cell{Row: row.Name(), Column: column}, status: NotRun})
+			names = append(names, row.Name()+", "+string(column))
+		}
+	}
+	inParallel(t, names, func(t *testing.T, i int) {
+		one := &all[i]
+		if _, ok := one.row.Reason(one.cell.Column); ok {
+			one.status = Exempt
+			return
+		}
+		if one.row.Check == nil {
+			t.Error("no check and no reason why the fault does not apply")
+			return
+		}
+		one.run = runCell(t, one.row, one.cell.Column, "")
+		one.status = Pass
+		for _, problem := range one.run.Failures() {
+			one.status = Fail
+			t.Error(problem)
+		}
+	})
+	return all
+}
+
+// Guards against a fault at a step of a path that breaks an invariant or leaves it stuck, and cells without a check.
 func TestMatrix(t *testing.T) {
 	var report Report
 	var reasons strings.Builder
-	for _, row := range sortedRows() {
-		for _, column := range Columns() {
-			cell := Cell{Row: row.Name(), Column: column}
-			if reason, ok := row.Reason(column); ok {
-				report.Add(cell, Exempt)
-				fmt.Fprintf(&reasons, "%s, %s: %s\n", cell.Row, column, reason)
-				continue
-			}
-			if row.Check == nil {
-				report.Add(cell, NotRun)
-				t.Errorf("%s, %s: no check and no reason why the fault does not apply", cell.Row, column)
-				continue
-			}
-			problems := runCell(t, row, column, "").Failures()
-			status := Pass
-			for _, problem := range problems {
-				status = Fail
-				t.Errorf("%s, %s: %s", cell.Row, column, problem)
+	recovery := RecoveryTable()
+	for _, one := range runAll(t) {
+		report.Add(one.cell, one.status)
+		if reason, ok := one.row.Reason(one.cell.Column); ok {
+			fmt.Fprintf(&reasons, "%s, %s: %s\n", one.cell.Row, one.cell.Column, reason)
+		}
+		if one.run != nil && one.run.Recovery.Measured {
+			recovery.Add(one.cell, one.run.Recovery)
+			if one.run.Recovery.Wrong > 0 {
+				t.Errorf("%s, %s: %d wrong answers", one.cell.Row, one.cell.Column, one.run.Recovery.Wrong)
 			}
-			report.Add(cell, status)
 		}
 	}
 	t.Logf("fault matrix\n%s\nnot applicable:\n%s", report.String(), reasons.String())
+	t.Logf("recovery\n%s", recovery)
 }
 
 // Guards against cells that pass whatever the code does: each mutant breaks one mechanism and its cells must turn red.
@@ -81,22 +129,30 @@
 	for _, row := range rows {
 		byName[row.Name()] = row
 	}
-	cells, survived := 0, 0
+	type killed struct {
+		mutant string
+		cell   Cell
+	}
+	var all []killed
+	var names []string
 	for _, mutant := range mutants {
 		for _, cell := range mutant.Red {
-			row, ok := byName[cell.Row]
-			if !ok {
+			if _, ok := byName[cell.Row]; !ok {
 				t.Fatalf("mutant %q names the unknown row %q", mutant.Name, cell.Row)
 			}
-			cells++
-			problems := runCell(t, row, cell.Column, mutant.Name).failures // a fault that never happens is no discovery
-			if len(problems) == 0 {
-				survived++
-				t.Errorf("mutant %q stays green at %s, %s", mutant.Name, cell.Row, cell.Column)
-				continue
-			}
-			t.Logf("mutant %q, %s, %s: red: %s", mutant.Name, cell.Row, cell.Column, problems[0])
+			all = append(all, killed{mutant.Name, cell})
+			names = append(names, mutant.Name+", "+cell.Row+", "+string(cell.Column))
 		}
 	}
-	t.Logf("%d mutants, %d cells that must turn red, %d did", len(mutants), cells, cells-survived)
+	var survived atomic.Int64
+	inParallel(t, names, func(t *testing.T, i int) {
+		problems := runCell(t, byName[all[i].cell.Row], all[i].cell.Column, all[i].mutant).failures // a fault that never happens is no discovery
+		if len(problems) == 0 {
+			survived.Add(1)
+			t.Error("the mutant stays green")
+			return
+		}
+		t.Logf("red: %s", problems[0])
+	})
+	t.Logf("%d mutants, %d cells that must turn red, %d did", len(mutants), len(all), int64(len(all))-survived.Load())
 }
--- a/internal/matrix/pairs_test.go
+++ b/internal/matrix/pairs_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"fmt"
 	"math/rand/v2"
 	"testing"
 )
@@ -33,12 +34,17 @@
 // Guards against an invariant that holds under one fault and breaks under two.
 func TestPairs(t *testing.T) {
 	sorted := sortedRows()
-	for seed := *pairSeed; seed < *pairSeed+*pairs; seed++ {
+	names := make([]string, *pairs)
+	for i := range names {
+		names[i] = fmt.Sprint("seed ", *pairSeed+uint64(i))
+	}
+	inParallel(t, names, func(t *testing.T, i int) {
+		seed := *pairSeed + uint64(i)
 		rnd := rand.New(rand.NewPCG(seed, 9))
 		row := sorted[rnd.IntN(len(sorted))]
 		column := Columns()[rnd.IntN(len(Columns()))]
 		if _, exempt := row.Reason(column); exempt || row.Check == nil {
-			continue
+			return
 		}
 		run := runCheck(t, row, &Run{Column: column, Seed: seed})
 		for _, problem := range run.failures {
@@ -46,5 +52,5 @@
 			t.Errorf("seed %d: %s, %s, with %s of %s at call %d of %s (late %v): %s",
 				seed, row.Name(), column, second.fault, second.instance, second.nth, second.op, second.late, problem)
 		}
-	}
+	})
 }
--- /dev/null
+++ b/internal/matrix/paths_test.go
@@ -0,0 +1,101 @@
+package matrix
+
+import "time"
+
+const (
+	reasonPeers    = "the step does not call the table service; its outage is in the rows of the steps that do"
+	reasonPull     = "a pull has no effect that could outlive its reply; a lost reply is the same as a partition"
+	reasonTwoPulls = "a pull that arrives twice has no effect"
+	reasonWindow   = "covered by the send that follows: the step is the moment between check and send"
+)
+
+// siteRow returns a row whose fault hits the nth call of an operation by an instance once the site serves.
+func siteRow(path, step, name, op string, nth int, prepare func(*site) func(), prelude ...injection) Row {
+	return Row{Path: path, Step: step, Check: func(r *Run) {
+		for _, late := range []bool{false, true} {
+			from := armed
+			if path == "configuration" {
+				from = changeAt - time.Second
+			}
+			faults := []*injection{{instance: name, op: op, nth: nth, fault: r.Column, late: late, cell: true, from: from}}
+			for _, p := range prelude {
+				p.from = armed
+				faults = append(faults, &p)
+			}
+			s := newSite(newWorld(r, faults...))
+			if path != "configuration" {
+				s.operator = "b" // the change must be accepted while a is paused
+			}
+			var extra func()
+			if prepare != nil {
+				extra = prepare(s)
+			}
+			s.serve(extra)
+		}
+	}}
+}
+
+// localRow is a site row of a step that makes no call.
+func localRow(path, step, name, op string, prelude ...injection) Row {
+	return siteRow(path, step, name, op, 1, nil, prelude...).
+		except(reasonNoCall, PartitionOneWay, PartitionBothWays, Slow, ReplyLost, Duplicate).except(reasonNoReading, StaleRead)
+}
+
+// read exempts what cannot happen to a read.
+func (r Row) read() Row { return r.except(reasonRead, ReplyLost).except(reasonTwoReads, Duplicate) }
+
+// peer exempts what cannot happen to a pull from a peer.
+func (r Row) peer() Row {
+	return r.except(reasonPull, ReplyLost).except(reasonTwoPulls, Duplicate).except(reasonNoReading, StaleRead)
+}
+
+// noPeer cuts instance c from the peer of its nth pull; a round pulls from both.
+func noPeer(nth int) injection {
+	return injection{instance: "c", op: "digest", nth: nth, fault: PartitionBothWays}
+}
+
+func init() {
+	// The first request after the start of the faults is not repeatable and has five chunks.
+	cut := injection{instance: "a", op: "chunk", nth: 8, fault: ReplyLost}
+	insertLost := injection{instance: "a", op: "put:config", nth: 1, fault: ReplyLost}
+	noDocument := injection{instance: "c", op: "get:document", nth: 1, fault: PartitionBothWays}
+	model := func(step, op string, prelude ...injection) Row {
+		return siteRow("model", step, "a", op, 1, nil, prelude...).except(reasonNoReading, StaleRead)
+	}
+	register(
+		localRow("model", "admit", "a", "admit"),
+		localRow("model", "queue", "a", "queue"),
+		siteRow("model", "read the session", "a", "get:session", 1, nil).read(),
+		siteRow("model", "insert the session", "a", "put:session", 1, nil),
+		localRow("model", "choose and permit", "a", "permit-first"),
+		model("dispatch", "send-first").except(reasonOneSend, Duplicate),
+		model("stream", "chunk"),
+		localRow("model", "permit to resume", "a", "permit-resume", cut),
+		model("resume", "send-resume", cut).except(reasonOneSend, Duplicate),
+		localRow("model", "permit of the second step", "a", "permit-second"),
+		model("cascade second step", "send-second").except(reasonOneSend, Duplicate),
+		siteRow("model", "bill", "a", "put:bill", 1, nil),
+		localRow("model", "end marker", "a", "end"),
+
+		siteRow("configuration", "write the document", "a", "put:document", 1, nil),
+		siteRow("configuration", "insert the revision", "a", "put:config", 1, nil),
+		siteRow("configuration", "read back", "a", "get:config", 1, nil, insertLost).read(),
+		siteRow("configuration", "poll", "c", "range:config", 2, nil).read(),
+		siteRow("configuration", "poll without peers", "c", "range:config", 2, nil, noPeer(1), noPeer(2)).read(),
+		siteRow("configuration", "fetch the document", "c", "get:document", 1, nil).read(),
+		siteRow("configuration", "fetch from a peer", "c", "revision", 1, nil, noDocument).peer(),
+		localRow("configuration", "install", "c", "install"),
+		siteRow("configuration", "digest", "c", "digest", 2, nil).peer(),
+		localRow("configuration", "accept", "a", "accept"),
+	)
+	registerMutants(
+		Mutant{"no permit before the send", red("model: choose and permit", PauseResume)},
+		Mutant{"no permit on resume", red("model: permit to resume", PauseResume)},
+		Mutant{"no permit on second", red("model: permit of the second step", PauseResume)},
+		Mutant{"end marker before the bill", red("model: bill", Kill)},
+		Mutant{"lost send counts as unsent", red("model: dispatch", ReplyLost)},
+		Mutant{"cut stream is reported as success", red("model: stream", ReplyLost, PartitionBothWays)},
+		Mutant{"accepted without 2B", red("configuration: poll without peers", PartitionBothWays, Slow)},
+		Mutant{"revision may fall", red("configuration: poll", StaleRead)},
+	)
+}
--- a/internal/matrix/world_test.go
+++ b/internal/matrix/world_test.go
@@ -40,6 +40,8 @@
 	late     bool
 	// cell is set for the fault of the cell, as opposed to one that leads up to the step.
 	cell bool
+	// from is the age of the world before which calls do not count.
+	from time.Duration
 
 	seen  int
 	fired bool
@@ -58,6 +60,8 @@
 	faults    []*injection
 	storeDown time.Time
 	loops     sync.WaitGroup
+	// faultAt and faultEnd are the start and the end of the cell's fault; zero before it.
+	faultAt, faultEnd time.Time
 }
 
 func newWorld(run *Run, faults ...*injection) *world {
@@ -152,7 +156,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, f := range w.faults {
-		if f.fired || f.instance != n.name || f.op != op {
+		if f.fired || f.instance != n.name || f.op != op || time.Since(w.start) < f.from {
 			continue
 		}
 		f.seen++
@@ -264,6 +268,7 @@
 func (n *instance) begin(f *injection, t target, effect func() any) (any, verdict, bool) {
 	if f.cell {
 		n.w.run.Injected()
+		n.w.noteFault(f.fault)
 	}
 	var value any
 	if f.late && f.fault != Duplicate && f.fault != ReplyLost {
@@ -379,9 +384,44 @@
 	return memory.FaultNone
 }
 
+// scanned is the result of a Range.
+type scanned struct {
+	rows []api.Row
+	err  error
+}
+
 // Range implements platform.Table.
-func (n *instance) Range(context.Context, string, string, int) ([]api.Row, error) {
-	return nil, platform.ErrUnavailable
+func (n *instance) Range(ctx context.Context, prefix, after string, limit int) ([]api.Row, error) {
+	reply, v := n.call(ctx, toStore, "range:"+kind(prefix), func() any {
+		rows, err := n.w.table.View(n.staleness).Range(context.Background(), prefix, after, limit)
+		return scanned{rows, err}
+	})
+	if v != done {
+		return nil, platform.ErrUnavailable
+	}
+	return reply.(scanned).rows, reply.(scanned).err
+}
+
+// noteFault keeps the time of the cell's fault, from which recovery counts.
+func (w *world) noteFault(fault Column) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.faultAt, w.faultEnd = time.Now(), time.Now()
+	switch fault {
+	case PauseResume:
+		w.faultEnd = w.faultAt.Add(pauseLength)
+	case PartitionOneWay, PartitionBothWays, Slow, StoreUnavailable, StaleRead:
+		w.faultEnd = w.faultAt.Add(faultLength)
+	case Duplicate:
+		w.faultEnd = w.faultAt.Add(duplicateLag)
+	}
+}
+
+// faultTimes returns start and end of the cell's fault, and false before it.
+func (w *world) faultTimes() (start, end time.Time, happened bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.faultAt, w.faultEnd, !w.faultAt.IsZero()
 }
 
 // variants runs the scenario with the fault of the cell before and after the effect of the call.
