--- a/internal/retry/outcome.go
+++ b/internal/retry/outcome.go
@@ -4,8 +4,6 @@
 package retry
 
 import (
-	"net/http"
-
 	"github.com/cicadawall/cicadawall/internal/api"
 )
 
@@ -24,6 +22,14 @@
 	Refused bool
 }
 
+// Statuses that decide. The package knows the meaning of a status, not the transport that carries it.
+const (
+	statusOK              = 200
+	statusRequestTimeout  = 408
+	statusTooManyRequests = 429
+	statusServerError     = 500
+)
+
 // Outcome returns what is certain about the work of the attempt.
 //
 // Nothing sent means not_run. After the first byte only a complete response decides: a refusal means not_run, a status below
@@ -37,7 +43,7 @@
 		return api.OutcomeUnknown
 	case a.Refused:
 		return api.OutcomeNotRun
-	case a.Status == http.StatusRequestTimeout || a.Status >= http.StatusInternalServerError || a.Status < http.StatusOK:
+	case a.Status == statusRequestTimeout || a.Status >= statusServerError || a.Status < statusOK:
 		return api.OutcomeUnknown
 	default:
 		return api.OutcomeAnswered
@@ -46,5 +52,5 @@
 
 // Failed reports whether the attempt counts against the backend server. An answer to a faulty request does not.
 func Failed(a Attempt) bool {
-	return Outcome(a) != api.OutcomeAnswered || a.Status == http.StatusTooManyRequests
+	return Outcome(a) != api.OutcomeAnswered || a.Status == statusTooManyRequests
 }
