--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -54,7 +54,7 @@
 // ConfigValidate is the command "config validate".
 type ConfigValidate struct {
 	OutputFlags
-	File string `arg:"positional,required" help:"declaration file. Example: cicadawall config validate declaration.yaml"`
+	File string `arg:"positional,required" help:"declaration file"`
 }
 
 // ConfigDiff is the command "config diff".
@@ -62,7 +62,7 @@
 	OperatorFlags
 	OutputFlags
 	Against string `arg:"--against" help:"compare with this file instead of the declaration in force"`
-	File    string `arg:"positional,required" help:"declaration file. Example: cicadawall config diff declaration.yaml"`
+	File    string `arg:"positional,required" help:"declaration file"`
 }
 
 // ConfigApply is the command "config apply".
@@ -70,23 +70,23 @@
 	OperatorFlags
 	OutputFlags
 	Base     *int64        `arg:"--base" help:"revision that the file was made from [default: the one in force]"`
-	ChangeID string        `arg:"--change-id" help:"id of the change; repeat with the same id after an unknown outcome [default: a new one]"`
+	ChangeID string        `arg:"--change-id" help:"id of the change; repeat with the same id and --base after an unknown outcome [default: a new one]"`
 	Author   string        `arg:"--author,env:USER" help:"name that a conflicting operator sees"`
 	DryRun   bool          `arg:"--dry-run" help:"check the file and the base; change nothing"`
-	Wait     time.Duration `arg:"--wait" default:"30s" help:"longest wait for acceptance"`
-	File     string        `arg:"positional,required" help:"declaration file. Example: cicadawall config apply --base 41 declaration.yaml"`
+	Wait     time.Duration `arg:"--wait" default:"30s" help:"longest wait for acceptance, at most 2m"`
+	File     string        `arg:"positional,required" help:"declaration file"`
 }
 
 // ConfigShow is the command "config show".
 type ConfigShow struct {
 	OperatorFlags
-	JSON bool `arg:"--json" help:"print revision, change id, author and document as JSON. Example: cicadawall config show > declaration.yaml"`
+	JSON bool `arg:"--json" help:"print revision, change id, author and document as JSON"`
 }
 
 // ConfigStatus is the command "config status".
 type ConfigStatus struct {
 	OperatorFlags
-	JSON bool `arg:"--json" help:"print the result as JSON. Example: cicadawall config status --operator-url https://10.0.0.4:8081"`
+	JSON bool `arg:"--json" help:"print the result as JSON"`
 }
 
 // Run executes the chosen subcommand. Results go to out, faults to errOut; the exit code is returned.
--- a/internal/cli/config_client.go
+++ b/internal/cli/config_client.go
@@ -102,7 +102,10 @@
 	if json.Unmarshal(text, &body) != nil || body.Error.Message == "" {
 		return errors.Errorf("the operator API answered status %d", status)
 	}
-	message := fmt.Sprintf("%s: %s; %s", body.Error.Code, body.Error.Message, body.Error.Advice)
+	message := fmt.Sprintf("%s: %s", body.Error.Code, body.Error.Message)
+	if body.Error.Advice != "" {
+		message += "; " + body.Error.Advice
+	}
 	if status >= http.StatusInternalServerError {
 		return errors.New(message)
 	}
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -41,6 +41,7 @@
 	switch {
 	case errors.Is(err, arg.ErrHelp):
 		_ = parser.WriteHelpForSubcommand(stdout, parser.SubcommandNames()...)
+		writeExample(stdout, parser.Subcommand())
 		return ExitDone
 	case err != nil:
 		_ = parser.WriteUsageForSubcommand(stderr, parser.SubcommandNames()...)
@@ -50,6 +51,13 @@
 	return parsed.run(parser, stdout, stderr)
 }
 
+// writeExample ends the help text of a command with its example. The parser prints the epilogue of the root only.
+func writeExample(out io.Writer, command any) {
+	if with, ok := command.(interface{ Example() string }); ok {
+		fmt.Fprintf(out, "\nExample: %s\n", with.Example())
+	}
+}
+
 func (a *arguments) run(parser *arg.Parser, stdout, stderr io.Writer) int {
 	switch {
 	case a.Serve != nil:
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -19,11 +19,6 @@
 	LogLevel string `arg:"--log-level" default:"info" help:"debug, info, warn or error"`
 }
 
-// Epilogue implements the example in the help text.
-func (ServeCommand) Epilogue() string {
-	return "Example: cicadawall serve --settings instance.yaml"
-}
-
 // run serves until SIGTERM or SIGINT and then drains.
 func (c *ServeCommand) run(stdout, stderr io.Writer) int {
 	set, problems := settings.Load(c.Settings)
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -13,7 +13,7 @@
 // StatusCommand is the command "status".
 type StatusCommand struct {
 	OperatorFlags
-	JSON bool `arg:"--json" help:"print the result as JSON. Example: cicadawall status --operator-url https://10.0.0.4:8081"`
+	JSON bool `arg:"--json" help:"print the result as JSON"`
 }
 
 func (c *StatusCommand) run(ctx context.Context, p printer) int {
@@ -93,7 +93,7 @@
 	Organisation string `arg:"--organisation" help:"organisation of a hypothetical request"`
 	Class        string `arg:"--class" help:"class of a hypothetical request"`
 	Model        string `arg:"--model" help:"model that a hypothetical request names"`
-	JSON         bool   `arg:"--json" help:"print the result as JSON. Example: cicadawall explain --organisation arena-north --class size-check"`
+	JSON         bool   `arg:"--json" help:"print the result as JSON"`
 }
 
 func (c *ExplainCommand) run(ctx context.Context, p printer) int {
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -39,7 +39,7 @@
 // Code is a stable machine-readable error code.
 type Code string
 
-// Codes that callers and operators see. docs/operators/errors.md describes each.
+// Codes that callers and operators see. docs/operators/callers.md describes each.
 const (
 	CodeUnauthenticated         Code = "unauthenticated"
 	CodeInvalidRequest          Code = "invalid_request"
