Keep requests that a lagging load report cannot contain; judge answers by their first tokens

Cause: a report's arrival reset the count of requests sent since, also of those sent between the time at which it held and its arrival, so all instances undercounted busy servers. The confidence of streamed and whole answers was taken over different numbers of tokens although their ratings are grouped together; now the first 24 tokens count for both, and a weak first answer is cut there. The dispatch tests draw from a fixed random source: exploration made one of them fail in 1 of 5 runs.

--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"math"
+	"math/rand/v2"
 	"strings"
 	"sync"
 	"testing"
@@ -241,6 +242,7 @@
 		Config: config, Servers: servers, Prefixes: routing.NewPrefixIndex(100), Queue: queue, Planner: NewPlanner(b.table),
 		Sessions: pins, Ledger: b.ledger, Limiter: noLimits{}, Engine: b.engine, Orders: noOrders{}, Retries: NewRetries(),
 		Sampler: b.sampler, Metrics: telemetry.NewMetrics(), Classes: status.NewClasses(), Traces: NewTraces(), Log: slog.New(slog.DiscardHandler),
+		Random: func() *rand.Rand { return rand.New(rand.NewPCG(3, 4)) }, // Draws no exploration.
 	})
 	b.pool = worker.NewPool(2, queue)
 	return b
--- a/internal/dispatch/gate.go
+++ b/internal/dispatch/gate.go
@@ -8,13 +8,16 @@
 	"github.com/cicadawall/cicadawall/internal/engine/stream"
 )
 
-// wholeAnswer is a window that only the end of the answer closes.
-const wholeAnswer = math.MaxInt
+// confidenceTokens is the number of first tokens whose mean probability is the confidence of an answer, so that the caller of
+// a chain waits for a few tokens and not for the whole first answer. Every answer is judged by the same number, because
+// ratings are grouped by confidence.
+const confidenceTokens = 24
 
 // gate holds back the first answer of a chain until its confidence is known. A gate without a chain is open.
 type gate struct {
-	chain  *cascade.Chain
-	window int
+	chain *cascade.Chain
+	// whole holds the answer back to its end even if it is weak, because an explored answer is rated.
+	whole bool
 
 	held       strings.Builder
 	logprobSum float64
@@ -22,11 +25,11 @@
 	open       bool
 }
 
-func newGate(chain *cascade.Chain, window int) *gate {
-	return &gate{chain: chain, window: window, open: chain == nil}
+func newGate(chain *cascade.Chain, whole bool) *gate {
+	return &gate{chain: chain, whole: whole, open: chain == nil}
 }
 
-// confidence returns the geometric mean probability of the tokens seen, or 0 if the engine sends none.
+// confidence returns the geometric mean probability of the first tokens, or 0 if the engine sends none.
 func (g *gate) confidence() float64 {
 	if g.tokens == 0 {
 		return 0
@@ -37,15 +40,12 @@
 // add takes the next chunk and returns the text to pass on, and whether the next step must run.
 func (g *gate) add(chunk stream.Chunk) (text string, escalate bool) {
 	text = chunkText(chunk)
-	if g.open && g.chain != nil {
-		return text, false
-	}
 	g.observe(chunk)
 	if g.open {
 		return text, false
 	}
 	g.held.WriteString(text)
-	if g.tokens < g.window {
+	if g.whole || g.tokens < confidenceTokens {
 		return "", false
 	}
 	return g.decide()
@@ -73,6 +73,9 @@
 			continue
 		}
 		for _, token := range choice.Logprobs.Content {
+			if g.tokens == confidenceTokens {
+				return
+			}
 			g.logprobSum += token.Logprob
 			g.tokens++
 		}
--- a/internal/dispatch/plain.go
+++ b/internal/dispatch/plain.go
@@ -84,7 +84,7 @@
 		call:     call,
 		deadline: request.Arrived.Add(timeout),
 		reply:    NewReply(),
-		random:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		random:   r.newRandom(),
 	}
 	return job, admission.Item{
 		Organisation: organisation.Name,
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -132,6 +132,7 @@
 			Cost:            costOf(in.Snapshot, id, 0, in.Tokens),
 			FirstToken:      predicted.FirstToken,
 			Total:           predicted.FirstToken + time.Duration(in.Tokens)*predicted.PerToken,
+			Decided:         predicted.FirstToken + confidenceTokens*predicted.PerToken,
 		})
 	}
 	return options
--- a/internal/dispatch/router.go
+++ b/internal/dispatch/router.go
@@ -82,6 +82,13 @@
 // NewRouter returns a router over the parts.
 func NewRouter(parts Parts) *Router { return &Router{Parts: parts} }
 
+func (r *Router) newRandom() *rand.Rand {
+	if r.Random != nil {
+		return r.Random()
+	}
+	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+}
+
 // MaxBodyBytes returns the size limit of a request body in bytes.
 func (r *Router) MaxBodyBytes() int64 { return r.Parts.MaxBodyBytes }
 
--- a/internal/table/servers.go
+++ b/internal/table/servers.go
@@ -1,6 +1,7 @@
 package table
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -23,6 +24,8 @@
 	ReportedAt time.Time
 	// SentSince counts this instance's requests sent after ReportedAt.
 	SentSince int
+	// sent holds the times of these requests, oldest first.
+	sent []time.Time
 	// ConsecutiveFailures counts failures since the last success.
 	ConsecutiveFailures int
 	LastFailure         time.Time
@@ -42,6 +45,9 @@
 	return false
 }
 
+// maxSent bounds the requests counted on top of a report. With more than that the report is useless anyway.
+const maxSent = 1024
+
 // firstTokenWeight is the weight of a new sample in the moving average of the time to the first token.
 const firstTokenWeight = 0.2
 
@@ -125,7 +131,11 @@
 		return false
 	}
 	row.InFlight++
-	row.SentSince++
+	if len(row.sent) == maxSent {
+		row.sent = row.sent[1:]
+	}
+	row.sent = append(row.sent, time.Now())
+	row.SentSince = len(row.sent)
 	row.LastBegin = time.Now()
 	return true
 }
@@ -151,7 +161,13 @@
 		}
 		row.Load = load
 		row.ReportedAt = at
-		row.SentSince = 0
+		// A report lags: requests sent after the time at which it held are not in it.
+		after := slices.IndexFunc(row.sent, func(sent time.Time) bool { return sent.After(at) })
+		if after < 0 {
+			after = len(row.sent)
+		}
+		row.sent = append([]time.Time(nil), row.sent[after:]...)
+		row.SentSince = len(row.sent)
 		row.Leaving = row.Leaving || load.Draining
 	})
 }
