Send the newest revision with registrations

A registration set from a peer or from the checkpoint can contain the ends of registrations. An instance that took such a set without the revision that its sender knew could become the majority of its own set and serve a revision older than an accepted one (model findings F1 and F2).

RegistrationSet names the highest revision that the sender knows, in force or heard of. The receiver records it before the rows take effect, and passes it on. TestRowsFromPeerCarryRevision and TestCheckpointCarriesRevision were red before; TestEndingRowsNeedConfigurationRead was green: rows from the store already needed a configuration read.

--- a/internal/api/peer.gen.go
+++ b/internal/api/peer.gen.go
@@ -296,6 +296,9 @@
 type RegistrationSet struct {
 	Instances    []RegisteredInstance `json:"instances" yaml:"instances"`
 	LastSequence int64                `json:"lastSequence" yaml:"lastSequence"`
+
+	// NewestRevision Highest configuration revision that the sender knows, in force or heard of.
+	NewestRevision int64 `json:"newestRevision,omitempty" yaml:"newestRevision,omitempty"`
 }
 
 // RevisionDocument defines model for RevisionDocument.
--- a/internal/configsync/cluster_test.go
+++ b/internal/configsync/cluster_test.go
@@ -51,6 +51,9 @@
 	side    atomic.Int32
 	dead    atomic.Bool
 	fault   atomic.Value
+	// only is the one peer that answers, where a test chooses it.
+	only     atomic.Pointer[node]
+	answered atomic.Bool
 }
 
 type hook func(op memory.Op, key string) memory.Fault
@@ -66,7 +69,15 @@
 
 // start adds an instance on a side; instances of different sides do not hear each other, and only side 0 has the store.
 func (c *cluster) start(side int32) *node {
+	n := c.add(side)
+	n.run()
+	return n
+}
+
+// add adds an instance that does nothing until it is run or driven by a test.
+func (c *cluster) add(side int32) *node {
 	n := &node{cluster: c, name: fmt.Sprintf("entry-%d", len(c.nodes)+1), port: 9001 + len(c.nodes), peers: table.NewPeers()}
+	n.duties.Store(worker.NewDuties(1, slog.New(slog.DiscardHandler)))
 	n.side.Store(side)
 	n.fault.Store(hook(func(memory.Op, string) memory.Fault { return memory.FaultNone }))
 	n.config = table.NewConfig(bound, n.peers.Majority(bound))
@@ -94,7 +105,6 @@
 	c.nodes = append(c.nodes, n)
 	c.byPort.Store(n.port, n)
 	c.showAll()
-	n.run()
 	return n
 }
 
@@ -169,6 +179,9 @@
 		return nil, errors.Errorf("peer %s does not exist", address)
 	}
 	peer := found.(*node)
+	if only := l.from.only.Load(); only != nil && only != peer {
+		return nil, errors.Errorf("peer %s is not reached", address)
+	}
 	if peer.dead.Load() || peer.side.Load() != l.from.side.Load() {
 		<-ctx.Done()
 		return nil, errors.Errorf("peer %s does not answer", address)
@@ -194,6 +207,7 @@
 		return api.Digest{}, err
 	}
 	digest := peer.members.Digest(time.Now())
+	l.from.answered.Store(true)
 	l.count(digest)
 	return digest, nil
 }
--- /dev/null
+++ b/internal/configsync/findings_test.go
@@ -0,0 +1,149 @@
+package configsync
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cicadawall/cicadawall/internal/api"
+	"github.com/cicadawall/cicadawall/internal/platform"
+	"github.com/cicadawall/cicadawall/internal/platform/memory"
+)
+
+// The tests of this file replay the schedules of docs/decisions/model-findings.md. Every step is driven by the test.
+
+// inSteps runs a test on n instances that serve revision 1 and whose duties are stopped.
+func inSteps(t *testing.T, n int, test func(t *testing.T, c *cluster)) {
+	inCluster(t, n, func(t *testing.T, c *cluster) {
+		for _, n := range c.nodes {
+			n.duties.Load().Stop()
+		}
+		test(t, c)
+	})
+}
+
+func (n *node) must(what string, step func(ctx context.Context) error) {
+	n.cluster.t.Helper()
+	if err := step(n.cluster.t.Context()); err != nil {
+		n.cluster.t.Fatalf("%s: %s: %v", n.name, what, err)
+	}
+}
+
+func (n *node) poll() {
+	n.cluster.t.Helper()
+	n.must("poll", n.syncer.Poll)
+}
+
+// hear pulls the digests of the peers, and the registrations that they know beyond the instance's.
+func (n *node) hear(peers ...*node) {
+	n.cluster.t.Helper()
+	for _, peer := range peers {
+		n.only.Store(peer)
+		n.answered.Store(false)
+		for attempt := 0; !n.answered.Load(); attempt++ {
+			if attempt == 1000 {
+				n.cluster.t.Fatalf("%s does not reach %s", n.name, peer.name)
+			}
+			n.must("pull", n.members.Pull)
+		}
+	}
+}
+
+// begin applies revision 2 and returns when it is committed and the registrations were read.
+func (n *node) begin() <-chan api.ApplyResponse {
+	done := make(chan api.ApplyResponse, 1)
+	go func() { done <- n.apply(1, "second", document(2)) }()
+	n.cluster.wait(time.Millisecond)
+	return done
+}
+
+func accepted(t *testing.T, done <-chan api.ApplyResponse) api.ApplyResponse {
+	t.Helper()
+	response := <-done
+	if response.State != api.ApplyAccepted {
+		t.Fatalf("change: %+v", response)
+	}
+	return response
+}
+
+// registerThenLoseStore is a start that reaches the store until the registration is read back and not beyond.
+func (n *node) registerThenLoseStore() {
+	n.cluster.t.Helper()
+	n.must("register", n.members.Register)
+	n.cut.Store(true)
+}
+
+// Finding F1. Guards against registrations that end at an instance before it read the configuration.
+func TestEndingRowsNeedConfigurationRead(t *testing.T) {
+	inSteps(t, 3, func(t *testing.T, c *cluster) {
+		a, b, x := c.nodes[0], c.nodes[1], c.nodes[2]
+		c.changeWithout(t, a, b)
+		x.fault.Store(hook(func(_ memory.Op, key string) memory.Fault {
+			if strings.HasPrefix(key, Prefix) {
+				return memory.FaultUnavailable
+			}
+			return memory.FaultNone
+		}))
+		if x.members.Poll(t.Context()) == nil || len(x.peers.Live()) != 3 {
+			t.Errorf("rows that end registrations took effect without a configuration read")
+		}
+		c.expect("after the rows were read", []*node{x}, 0)
+	})
+}
+
+// changeWithout has revision 2 accepted by two of three instances, which then leave.
+func (c *cluster) changeWithout(t *testing.T, a, b *node) {
+	t.Helper()
+	done := a.begin()
+	a.poll()
+	b.poll()
+	a.hear(b)
+	accepted(t, done)
+	b.must("deregister", b.members.Deregister)
+	a.must("deregister", a.members.Deregister)
+}
+
+// Finding F2. Guards against ending rows from a peer that come without the revision that the peer knows.
+func TestRowsFromPeerCarryRevision(t *testing.T) {
+	inSteps(t, 3, func(t *testing.T, c *cluster) {
+		a, b, x := c.nodes[0], c.nodes[1], c.nodes[2]
+		c.changeWithout(t, a, b)
+		a.must("read the log", a.members.Follow)
+		x.cut.Store(true)
+		x.hear(a)
+		if live := len(x.peers.Live()); live != 1 {
+			t.Fatalf("%d instances registered", live)
+		}
+		c.expect("after the rows of a peer", []*node{x}, 0)
+		late := c.add(0)
+		late.cut.Store(true)
+		late.hear(x)
+		if late.config.State().Newest != 2 {
+			t.Errorf("the revision was not passed on with the rows")
+		}
+		x.must("fetch", x.syncer.Fetch)
+		c.expect("after the fetch", []*node{x}, 2)
+	})
+}
+
+// Finding F2. Guards against a checkpoint that hides ended registrations without naming the revision that they knew.
+func TestCheckpointCarriesRevision(t *testing.T) {
+	inSteps(t, 3, func(t *testing.T, c *cluster) {
+		value, err := json.Marshal(api.RegistrationSet{LastSequence: 7, NewestRevision: 2, Instances: []api.RegisteredInstance{
+			{Sequence: 3, Registration: c.nodes[2].peers.Live()[2].Registration},
+		}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := c.table.View(nil).Put(t.Context(), "membership/checkpoint", value, platform.IfAbsent()); err != nil {
+			t.Fatal(err)
+		}
+		late := c.add(0)
+		late.must("register", late.members.Register)
+		if state := late.config.State(); state.Newest != 2 || late.peers.Last() != 8 {
+			t.Errorf("newest revision %d, last sequence %d", state.Newest, late.peers.Last())
+		}
+	})
+}
--- a/internal/membership/checkpoint.go
+++ b/internal/membership/checkpoint.go
@@ -21,7 +21,7 @@
 func (s *Service) loadCheckpoint(ctx context.Context) {
 	set, _, ok := s.readCheckpoint(ctx)
 	if ok && s.opts.Peers.Last() == 0 {
-		s.opts.Peers.Adopt(set)
+		s.take(set)
 	}
 }
 
@@ -47,7 +47,7 @@
 	if ok && s.opts.Peers.Last() < old.LastSequence+checkpointRows {
 		return
 	}
-	set := s.opts.Peers.Since(0)
+	set := s.Registrations(0)
 	set.Instances = slices.DeleteFunc(set.Instances, func(entry api.RegisteredInstance) bool { return entry.LeftSequence != 0 })
 	value, err := json.Marshal(set)
 	if err != nil {
--- a/internal/membership/pull.go
+++ b/internal/membership/pull.go
@@ -63,22 +63,24 @@
 		s.opts.Log.Debug("digest pull failed", "peer", peer.String(), "error", err.Error())
 		return
 	}
+	var named int64
 	if after := s.opts.Peers.Last(); digest.LastSequence > after {
-		s.adopt(ctx, peer, after)
+		named = s.adopt(ctx, peer, after)
 	}
-	newest := Merge(digest, start, s.opts.Peers)
+	newest := max(named, Merge(digest, start, s.opts.Peers))
 	if newest > s.opts.Config.Revision() && s.opts.Newer != nil {
 		s.opts.Newer(newest, peer)
 	}
 }
 
 // adopt takes the registrations that a peer knows beyond this instance's. It keeps the own majority at least as large as
-// that of the peers that it counts.
-func (s *Service) adopt(ctx context.Context, peer Address, after int64) {
+// that of the peers that it counts. It returns the revision that came with the registrations.
+func (s *Service) adopt(ctx context.Context, peer Address, after int64) int64 {
 	set, err := s.opts.Transport.Registrations(ctx, peer, after)
 	if err != nil {
 		s.opts.Log.Debug("registrations of peer not read", "peer", peer.String(), "error", err.Error())
-		return
+		return 0
 	}
-	s.opts.Peers.Adopt(set)
+	s.take(set)
+	return set.NewestRevision
 }
--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -120,8 +120,20 @@
 	return Build(s.opts.Registration.Incarnation, s.opts.Peers, s.opts.Config.State().Confirmed, now)
 }
 
-// Registrations returns the registrations known after a sequence.
-func (s *Service) Registrations(after int64) api.RegistrationSet { return s.opts.Peers.Since(after) }
+// Registrations returns the registrations known after a sequence and the highest revision known. The revision is read
+// last, so that it is at least the one that was recorded before the registrations took effect here.
+func (s *Service) Registrations(after int64) api.RegistrationSet {
+	set := s.opts.Peers.Since(after)
+	set.NewestRevision = s.opts.Config.State().Newest
+	return set
+}
+
+// take records the revision that a set names and then its registrations. Without the revision a set that ends
+// registrations could leave this instance a majority that never heard of an accepted revision.
+func (s *Service) take(set api.RegistrationSet) {
+	s.opts.Config.Heard(set.NewestRevision)
+	s.opts.Peers.Adopt(set)
+}
 
 // Poll reads new rows of the registration log, and registers this instance if it is neither registered nor leaving. It must not run
 // beside itself or Register.
