Count only reads and reports from after the registration

An instance could serve by a confirmation from before its registration, which an acceptance had not counted on (model finding F3), and an instance that started without the store reported the revision that it had adopted from peers, so that several of them made up a majority for a revision older than an accepted one (F5).

Confirmations and reports of peers count only if they began after the own row was in the log. An instance that adopted its revision from peers may serve by a majority of others but reports none until a store read after its registration. An instance without registration serves only by such an adoption. TestNoWorkBeforeRegistration and TestColdStartSupportsNoMajority were red before.

TestStoreOutageSeenByAll required that an instance started during the outage reports its revision, which is the fault F5. It now requires that it does not; that the instance serves was and is checked one line above.

--- a/internal/configsync/faults_test.go
+++ b/internal/configsync/faults_test.go
@@ -133,8 +133,8 @@
 		restarted.cut.Store(true)
 		c.wait(15 * time.Second)
 		c.expect("an instance started during the outage", []*node{restarted}, 1)
-		if !restarted.peers.Reporting() {
-			t.Error("the instance started during the outage did not adopt the revision of a majority")
+		if restarted.peers.Reporting() {
+			t.Error("the instance started during the outage reports a revision before it read the store")
 		}
 		for _, n := range c.nodes {
 			n.cut.Store(false)
--- a/internal/configsync/fetch.go
+++ b/internal/configsync/fetch.go
@@ -62,9 +62,9 @@
 	if err == nil || s.opts.Peers.Reporting() {
 		return err
 	}
-	revision, oldest := s.opts.Peers.View().Adoptable(s.opts.Bound, time.Now())
+	revision := s.opts.Peers.View().Adoptable(s.opts.Bound, time.Now())
 	if revision == 0 {
-		return errors.Wrap(err, "no configuration: the store is not readable and no majority of instances was heard")
+		return errors.Wrap(err, "the store is not readable and no majority of instances was heard")
 	}
 	// The store call may have used up the time of this run.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), dutyTimeout)
@@ -74,6 +74,6 @@
 			return err
 		}
 	}
-	s.opts.Peers.Report(s.opts.Config.Revision(), oldest)
+	s.opts.Peers.Adopted()
 	return nil
 }
--- a/internal/configsync/findings_test.go
+++ b/internal/configsync/findings_test.go
@@ -147,3 +147,54 @@
 		}
 	})
 }
+
+// Finding F3. Guards against an instance that works before it is registered, or by a confirmation from before.
+func TestNoWorkBeforeRegistration(t *testing.T) {
+	inSteps(t, 3, func(t *testing.T, c *cluster) {
+		a, b, d := c.nodes[0], c.nodes[1], c.nodes[2]
+		x := c.add(0)
+		x.poll()
+		x.hear(a, b, d)
+		c.expect("before its registration", []*node{x}, 0)
+		done := a.begin()
+		for _, n := range c.nodes[:3] {
+			n.poll()
+		}
+		a.hear(b, d)
+		x.registerThenLoseStore()
+		c.expect("after its registration", []*node{x}, 0)
+		accepted(t, done)
+		c.expect("after acceptance", []*node{x}, 0)
+	})
+}
+
+// Finding F5. Guards against instances that started without the store and support each other's older revision.
+func TestColdStartSupportsNoMajority(t *testing.T) {
+	inSteps(t, 3, func(t *testing.T, c *cluster) {
+		a, b, d := c.nodes[0], c.nodes[1], c.nodes[2]
+		done := a.begin()
+		x, y := c.add(0), c.add(0)
+		x.must("register", x.members.Register)
+		y.registerThenLoseStore()
+		x.must("read the log", x.members.Follow)
+		x.cut.Store(true)
+		for _, n := range []*node{x, y} {
+			n.hear(a, b, d)
+			_ = n.syncer.PollOrColdStart(t.Context())
+		}
+		c.expect("started without the store", []*node{x, y}, 1)
+		a.poll()
+		b.poll()
+		a.hear(b)
+		d.must("read the log", d.members.Follow)
+		cut := []*node{d, x, y}
+		for range 14 {
+			c.wait(time.Second)
+			d.hear(x, y)
+			x.hear(d, y)
+			y.hear(d, x)
+		}
+		accepted(t, done)
+		c.expect("after acceptance", cut, 0)
+	})
+}
--- a/internal/membership/register.go
+++ b/internal/membership/register.go
@@ -26,12 +26,11 @@
 	if err := s.Follow(ctx); err != nil {
 		return notRegistered(err)
 	}
-	start := time.Now()
 	sequence, err := s.appendRow(ctx, s.opts.Registration)
 	if err != nil {
 		return notRegistered(err)
 	}
-	s.opts.Peers.SetSelf(sequence, start)
+	s.opts.Peers.SetSelf(sequence, time.Now())
 	if err := s.Follow(ctx); err != nil {
 		return err
 	}
--- a/internal/quorum/quorum.go
+++ b/internal/quorum/quorum.go
@@ -97,14 +97,13 @@
 }
 
 // Adoptable returns the revision that an instance without configuration and without store may adopt: the highest among the
-// reports of a majority of the registered instances, each heard from within the bound. The time is that of the oldest
-// report that counted. It returns 0 if no majority was heard or the view has not caught up.
-func (v View) Adoptable(bound time.Duration, now time.Time) (revision int64, oldest time.Time) {
+// reports of a majority of the registered instances, each heard from within the bound. It returns 0 if no majority was heard
+// or the view has not caught up.
+func (v View) Adoptable(bound time.Duration, now time.Time) (revision int64) {
 	heard := 0
-	oldest = now
 	for _, m := range v.Members {
 		if m.Known > v.Last {
-			return 0, time.Time{}
+			return 0
 		}
 		if m.Sequence == v.Self || m.Revision == 0 {
 			continue
@@ -114,12 +113,9 @@
 			continue
 		}
 		heard++
-		if m.Heard.Before(oldest) {
-			oldest = m.Heard
-		}
 	}
 	if 2*heard <= len(v.Members) {
-		return 0, time.Time{}
+		return 0
 	}
-	return revision, oldest
+	return revision
 }
--- a/internal/quorum/quorum_test.go
+++ b/internal/quorum/quorum_test.go
@@ -81,7 +81,7 @@
 		{"later registrations exist", View{Last: 2, Members: []Member{heard(1, 4, 2), heard(2, 4, 3)}}, 0},
 	}
 	for _, c := range cases {
-		if got, _ := c.view.Adoptable(6*time.Second, now); got != c.want {
+		if got := c.view.Adoptable(6*time.Second, now); got != c.want {
 			t.Errorf("%s: got %d", c.name, got)
 		}
 	}
--- a/internal/quorum/schedule_test.go
+++ b/internal/quorum/schedule_test.go
@@ -122,12 +122,12 @@
 
 // coldStart is the rule of an instance that cannot read the store.
 func (w *world) coldStart(n *node) {
-	revision, oldest := n.peers.View().Adoptable(bound, w.now)
+	revision := n.peers.View().Adoptable(bound, w.now)
 	if !n.alive || revision == 0 || n.peers.Reporting() {
 		return
 	}
 	w.install(n, revision)
-	n.peers.Report(n.config.Revision(), oldest)
+	n.peers.Adopted()
 }
 
 func (w *world) commit(n *node) {
--- a/internal/table/config.go
+++ b/internal/table/config.go
@@ -15,14 +15,20 @@
 // paused sends.
 const permitValidity = time.Second
 
-// Majority reports whether a majority of the registered instances was heard lately and none of them reports a revision
-// newer than the one given.
-type Majority func(revision int64, now time.Time) bool
+// Standing tells what this instance's registration and the reports of others allow it to do.
+type Standing interface {
+	// Confirms reports whether a store read that started at the time can confirm the revision in force here: this instance
+	// is registered, and the read started after its registration.
+	Confirms(start time.Time) bool
+	// Supports reports whether a majority of the registered instances was heard lately and none of them reports a revision
+	// newer than the one given.
+	Supports(revision int64, now time.Time) bool
+}
 
 // Config is the table of the configuration in force at this instance. Its revision only rises.
 type Config struct {
 	bound    time.Duration
-	majority Majority
+	standing Standing
 
 	mu        *lockorder.RWMutex
 	snapshot  *declaration.Snapshot
@@ -41,10 +47,11 @@
 }
 
 // NewConfig returns a table without a configuration. A confirmation is fresh for the bound; after it the majority decides.
-func NewConfig(bound time.Duration, majority Majority) *Config {
+// Without a standing every confirmation counts and there is no majority.
+func NewConfig(bound time.Duration, standing Standing) *Config {
 	return &Config{
 		bound:    bound,
-		majority: majority,
+		standing: standing,
 		mu:       lockorder.NewRW(lockorder.RankConfiguration),
 		held:     map[declaration.VersionID]string{},
 	}
@@ -132,13 +139,23 @@
 	if state.Newest > state.Snapshot.Revision {
 		return nil, stale(fmt.Sprintf("revision %d exists but revision %d is in force here", state.Newest, state.Snapshot.Revision))
 	}
-	if !state.Confirmed.IsZero() && now.Sub(state.Confirmed) <= c.bound {
-		return state.Snapshot, nil
+	if !c.entitled(state, now) {
+		return nil, stale(fmt.Sprintf("revision %d was not confirmed within %s", state.Snapshot.Revision, c.bound))
+	}
+	// A revision is recorded before the registrations that came with it take effect. The majority may have counted those
+	// registrations, so the revision is checked after it.
+	if after := c.State(); after.Newest > state.Snapshot.Revision {
+		return nil, stale(fmt.Sprintf("revision %d exists but revision %d was in force here", after.Newest, state.Snapshot.Revision))
 	}
-	if c.majority != nil && c.majority(state.Snapshot.Revision, now) {
-		return state.Snapshot, nil
+	return state.Snapshot, nil
+}
+
+func (c *Config) entitled(state ConfigState, now time.Time) bool {
+	fresh := !state.Confirmed.IsZero() && now.Sub(state.Confirmed) <= c.bound
+	if c.standing == nil {
+		return fresh
 	}
-	return nil, stale(fmt.Sprintf("revision %d was not confirmed within %s", state.Snapshot.Revision, c.bound))
+	return fresh && c.standing.Confirms(state.Confirmed) || c.standing.Supports(state.Snapshot.Revision, now)
 }
 
 func stale(message string) *fault.Error {
--- a/internal/table/peers.go
+++ b/internal/table/peers.go
@@ -34,11 +34,13 @@
 	// order holds the rows by sequence.
 	order []*Peer
 	last  int64
-	// self is the own sequence, since the time before the insert of the own row.
+	// self is the own sequence, since a time after the insert of the own row.
 	self     int64
 	since    time.Time
 	revision int64
-	reports  bool
+	// reports holds once the store was read after the registration; adopted while the revision comes from peers only.
+	reports bool
+	adopted bool
 }
 
 // NewPeers returns an empty table.
@@ -93,7 +95,8 @@
 	})
 }
 
-// Adopt takes the registrations of a peer that knows more of the log. Its set must start where this table ends.
+// Adopt takes the registrations of a peer that knows more of the log. Its set must start where this table ends. The caller
+// records the revision that the set names before this call, because the set may contain the ends of registrations.
 func (t *Peers) Adopt(set api.RegistrationSet) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -129,24 +132,34 @@
 	return set
 }
 
-// SetSelf names the own row, whose insert started at the given time. Until a configuration is read that is at least as
-// recent, this instance reports no revision: its revision might be older than one accepted before it registered.
-func (t *Peers) SetSelf(sequence int64, start time.Time) {
+// SetSelf names the own row, which was in the log at the given time. Reads of the configuration and reports of peers from
+// before that time do not count: a revision might have been accepted by then without regard to this instance. Until a
+// later read, this instance reports no revision.
+func (t *Peers) SetSelf(sequence int64, since time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.self, t.since, t.reports = sequence, start, false
+	t.self, t.since, t.reports, t.adopted = sequence, since, false, false
 	t.ownLocked()
 }
 
-// Report records the own revision, which a read started at the given time found to be the newest.
+// Report records the own revision, which a store read started at the given time found to be the newest.
 func (t *Peers) Report(revision int64, start time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.revision = max(t.revision, revision)
-	t.reports = t.reports || !start.Before(t.since)
+	t.reports = t.reports || t.self != 0 && !start.Before(t.since)
+	t.adopted = t.adopted && !t.reports
 	t.ownLocked()
 }
 
+// Adopted records that the revision in force comes from a majority of peers. This instance may serve by their reports,
+// but reports no revision itself until it has read the store: it may have missed an acceptance that did not count on it.
+func (t *Peers) Adopted() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.adopted = !t.reports
+}
+
 // Installed records the own revision without a statement about its age.
 func (t *Peers) Installed(revision int64) {
 	t.mu.Lock()
@@ -232,20 +245,45 @@
 	return count
 }
 
-// View returns the table as the quorum rules read it.
+// View returns the table as the quorum rules read it. Reports from before the own registration count as not heard.
 func (t *Peers) View() quorum.View {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 	view := quorum.View{Self: t.self, Last: t.last}
 	for _, peer := range t.order {
-		if peer.Left == 0 {
-			view.Members = append(view.Members, peer.Member)
+		if peer.Left != 0 {
+			continue
 		}
+		member := peer.Member
+		if member.Heard.Before(t.since) {
+			member.Heard = time.Time{}
+		}
+		view.Members = append(view.Members, member)
 	}
 	return view
 }
 
-// Majority returns the rule by which an instance without a fresh confirmation may serve.
-func (t *Peers) Majority(bound time.Duration) Majority {
-	return func(revision int64, now time.Time) bool { return t.View().Supports(revision, bound, now) }
+// Majority returns the rules by which this instance may serve; the bound is the age up to which a report counts.
+func (t *Peers) Majority(bound time.Duration) Standing { return standing{peers: t, bound: bound} }
+
+type standing struct {
+	peers *Peers
+	bound time.Duration
+}
+
+// Confirms implements Standing.
+func (s standing) Confirms(start time.Time) bool {
+	s.peers.mu.RLock()
+	defer s.peers.mu.RUnlock()
+	row, ok := s.peers.rows[s.peers.self]
+	return ok && row.Left == 0 && !start.Before(s.peers.since)
+}
+
+// Supports implements Standing. An instance that is not registered serves only by a revision that it adopted from a
+// majority, which it does when the store cannot be read.
+func (s standing) Supports(revision int64, now time.Time) bool {
+	s.peers.mu.RLock()
+	entitled := s.peers.reports || s.peers.adopted
+	s.peers.mu.RUnlock()
+	return entitled && s.peers.View().Supports(revision, s.bound, now)
 }
