--- a/internal/configsync/findings_test.go
+++ b/internal/configsync/findings_test.go
@@ -168,6 +168,28 @@
 	})
 }
 
+// Finding F4. Guards against acceptance without the wait while an instance that registered after the commit serves.
+func TestAcceptanceSeesLateRegistration(t *testing.T) {
+	inSteps(t, 3, func(t *testing.T, c *cluster) {
+		a, b, d := c.nodes[0], c.nodes[1], c.nodes[2]
+		done := a.begin()
+		x := c.add(0)
+		x.registerThenLoseStore()
+		x.hear(a, b, d)
+		x.must("start without store", func(ctx context.Context) error { _ = x.syncer.PollOrColdStart(ctx); return nil })
+		c.expect("started without the store", []*node{x}, 1)
+		for _, n := range c.nodes[:3] {
+			n.poll()
+		}
+		a.hear(b, d)
+		response := accepted(t, done)
+		c.expect("after acceptance", []*node{x}, 0)
+		if len(response.NotInForce) != 1 || response.ElapsedMillis < int((2*bound).Milliseconds()) {
+			t.Errorf("accepted without the wait: %+v", response)
+		}
+	})
+}
+
 // Finding F5. Guards against instances that started without the store and support each other's older revision.
 func TestColdStartSupportsNoMajority(t *testing.T) {
 	inSteps(t, 3, func(t *testing.T, c *cluster) {
@@ -198,3 +220,23 @@
 		c.expect("after acceptance", cut, 0)
 	})
 }
+
+// Guards against an instance without registration that serves by the reports of others after an acceptance that could not
+// know of it.
+func TestRestartDuringOutageBesideAcceptance(t *testing.T) {
+	inSteps(t, 3, func(t *testing.T, c *cluster) {
+		a, b, d := c.nodes[0], c.nodes[1], c.nodes[2]
+		x := c.add(0)
+		x.cut.Store(true)
+		x.hear(a, b, d)
+		_ = x.syncer.PollOrColdStart(t.Context())
+		c.expect("restarted during the outage", []*node{x}, 1)
+		done := a.begin()
+		for _, n := range c.nodes[:3] {
+			n.poll()
+		}
+		a.hear(b, d)
+		accepted(t, done)
+		c.expect("after acceptance", []*node{x}, 0)
+	})
+}
