Keep half of the pool in use when servers fail

Cause: the request path dropped every server whose ejection had not ended, so a fault in the requests or the network could empty the pool; the floor and the half-open probes of internal/retry were not asked.

--- a/internal/dispatch/servers.go
+++ b/internal/dispatch/servers.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cicadawall/cicadawall/internal/api"
@@ -40,27 +41,72 @@
 	}
 	blocks := prefix.Blocks(id, prefix.Render(messages))
 	r.Prefixes.Mark(candidates, blocks)
-	request := routing.Request{Version: id, Zone: r.AvailabilityZone, Exclude: tried}
 	now := time.Now()
-	choice, _ := routing.Choose(candidates, request, now, random)
-	if !choice.Found && len(tried) > 0 {
+	uses := r.eject(candidates, id, now)
+	request := routing.Request{Version: id, Zone: r.AvailabilityZone, Exclude: tried}
+	chosen, ok := r.pick(candidates, request, uses, now, random)
+	if !ok && len(tried) > 0 {
 		// A server that failed an earlier attempt is better than none.
 		request.Exclude = nil
-		choice, _ = routing.Choose(candidates, request, now, random)
+		chosen, ok = r.pick(candidates, request, uses, now, random)
 	}
-	if !choice.Found {
+	if !ok {
 		return table.Server{}, fault.NotRun(fault.StepChoose, fault.CodeNoBackendServer,
 			fmt.Sprintf("no backend server can take %s", id)).WithRetryAfter(retryWithoutServer)
 	}
-	r.Prefixes.Stored(choice.Server, blocks)
+	r.Prefixes.Stored(chosen, blocks)
 	for i := range rows {
-		if rows[i].Entry.Id == choice.Server {
+		if rows[i].Entry.Id == chosen {
 			return rows[i], nil
 		}
 	}
 	return table.Server{}, fault.NotRun(fault.StepChoose, fault.CodeNoBackendServer, "the chosen backend server is gone")
 }
 
+// beyondChoice is a time past any choice; a candidate that is ejected until then is not used.
+const beyondChoice = time.Hour
+
+// eject marks the candidates that fail too often to be used for the version. The floor of half of the pool holds among the
+// servers that have the version loaded.
+func (r *Router) eject(candidates []routing.Candidate, id declaration.VersionID, now time.Time) map[string]retry.Use {
+	var pool []string
+	for i := range candidates {
+		candidates[i].EjectedUntil = time.Time{}
+		if !candidates[i].Leaving && slices.Contains(candidates[i].Versions, id) {
+			pool = append(pool, candidates[i].ID)
+		}
+	}
+	uses := make(map[string]retry.Use, len(pool))
+	for i, use := range r.Retries.Ejections.Uses(pool, now) {
+		uses[pool[i]] = use
+	}
+	for i := range candidates {
+		if uses[candidates[i].ID] == retry.UseNone {
+			candidates[i].EjectedUntil = now.Add(beyondChoice)
+		}
+	}
+	return uses
+}
+
+// pick chooses a server and claims the probe of one that is half open. A server whose probe is taken is passed over.
+func (r *Router) pick(candidates []routing.Candidate, request routing.Request, uses map[string]retry.Use, now time.Time, random *rand.Rand) (string, bool) {
+	for range candidates {
+		choice, _ := routing.Choose(candidates, request, now, random)
+		if !choice.Found {
+			return "", false
+		}
+		if r.Retries.Ejections.Begin(choice.Server, uses[choice.Server], now) {
+			return choice.Server, true
+		}
+		for i := range candidates {
+			if candidates[i].ID == choice.Server {
+				candidates[i].EjectedUntil = now.Add(beyondChoice)
+			}
+		}
+	}
+	return "", false
+}
+
 func candidate(row *table.Server) routing.Candidate {
 	c := routing.Candidate{
 		ID:           row.Entry.Id,
