Place versions under the placement lease

internal/placement decided but nothing acted on it. internal/placement/ controller reads all engines, decides and sends commands under the fence; the right is checked before each send, granted loads are sent again until the engine shows them, and a usable version's last replica stays. Instances report the mean concurrent requests by version (DemandReport) to the three candidates of the lease. Engines report versions that they load and the versions that fit.

--- a/internal/api/engine.gen.go
+++ b/internal/api/engine.gen.go
@@ -68,7 +68,7 @@
 	Id string `json:"id" yaml:"id"`
 }
 
-// EngineCommand States the desired state, so that sending it again changes nothing.
+// EngineCommand States the desired state, so that sending it again changes nothing. An unloaded version finishes the completions that run.
 type EngineCommand struct {
 	Action  EngineCommandAction `json:"action" yaml:"action"`
 	Adapter string              `json:"adapter,omitempty" yaml:"adapter,omitempty"`
@@ -91,9 +91,15 @@
 	Draining bool `json:"draining" yaml:"draining"`
 
 	// KvUse Share of the KV cache in use between 0 and 1.
-	KvUse    float64         `json:"kvUse,omitempty" yaml:"kvUse,omitempty"`
-	Queued   int             `json:"queued" yaml:"queued"`
-	Running  int             `json:"running" yaml:"running"`
+	KvUse float64 `json:"kvUse,omitempty" yaml:"kvUse,omitempty"`
+
+	// Loading Versions that are being loaded and take no requests yet.
+	Loading []LoadedVersion `json:"loading,omitempty" yaml:"loading,omitempty"`
+	Queued  int             `json:"queued" yaml:"queued"`
+	Running int             `json:"running" yaml:"running"`
+
+	// Slots Versions that fit in memory; absent if unknown.
+	Slots    int             `json:"slots,omitempty" yaml:"slots,omitempty"`
 	Versions []LoadedVersion `json:"versions" yaml:"versions"`
 }
 
--- a/internal/api/peer.gen.go
+++ b/internal/api/peer.gen.go
@@ -121,6 +121,9 @@
 type DemandReport struct {
 	Demands     []Demand `json:"demands" yaml:"demands"`
 	Incarnation string   `json:"incarnation" yaml:"incarnation"`
+
+	// Versions Versions with requests since the sender's last report, for the placement. Only in reports to the candidates of the placement lease.
+	Versions []VersionDemand `json:"versions,omitempty" yaml:"versions,omitempty"`
 }
 
 // Digest What an instance knows of the revision in force at each registered instance.
@@ -332,6 +335,14 @@
 	Versions map[string]string `json:"versions" yaml:"versions"`
 }
 
+// VersionDemand defines model for VersionDemand.
+type VersionDemand struct {
+	// Concurrent Mean number of the sender's requests that ran on the version at a time since its last report.
+	Concurrent float64 `json:"concurrent" yaml:"concurrent"`
+	Model      string  `json:"model" yaml:"model"`
+	Version    string  `json:"version" yaml:"version"`
+}
+
 // VersionShare defines model for VersionShare.
 type VersionShare struct {
 	Model string `json:"model" yaml:"model"`
--- a/internal/api/standin.gen.go
+++ b/internal/api/standin.gen.go
@@ -97,6 +97,9 @@
 	Queue int   `json:"queue,omitempty" yaml:"queue,omitempty"`
 	Seed  int64 `json:"seed,omitempty" yaml:"seed,omitempty"`
 
+	// Slots Versions that fit in memory; default the versions at the start or 1.
+	Slots int `json:"slots,omitempty" yaml:"slots,omitempty"`
+
 	// TokenMillis Time between tokens of one request in milliseconds.
 	TokenMillis float64                `json:"tokenMillis,omitempty" yaml:"tokenMillis,omitempty"`
 	Versions    []EngineStandinVersion `json:"versions,omitempty" yaml:"versions,omitempty"`
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -17,6 +17,7 @@
 	"github.com/cicadawall/cicadawall/internal/api"
 	"github.com/cicadawall/cicadawall/internal/billing"
 	"github.com/cicadawall/cicadawall/internal/configsync"
+	"github.com/cicadawall/cicadawall/internal/demand"
 	"github.com/cicadawall/cicadawall/internal/dispatch"
 	"github.com/cicadawall/cicadawall/internal/engine"
 	"github.com/cicadawall/cicadawall/internal/fleet"
@@ -79,6 +80,8 @@
 	reporter   *quality.Reporter
 	sampler    *quality.Sampler
 	classes    *status.Classes
+	demand     *demand.Table
+	placement  *placements
 	tls        *tlsSet
 
 	started   time.Time
@@ -99,6 +102,7 @@
 		versions:    quality.NewTable(),
 		metrics:     telemetry.NewMetrics(),
 		classes:     status.NewClasses(),
+		demand:      demand.NewTable(time.Now()),
 	}
 	bound := settings.Millis(set.Timing.FreshnessBoundMillis)
 	i.config = table.NewConfig(bound, i.peers.Majority(bound))
@@ -150,6 +154,7 @@
 		Servers:     &dispatch.PlainServers{Servers: i.servers, AvailabilityZone: i.set.Instance.AvailabilityZone},
 		Incarnation: i.incarnation,
 	})
+	i.placement = i.newPlacements(client)
 	i.queue = admission.NewQueue(i.set.Limits.QueueLength)
 	i.router = dispatch.NewRouter(dispatch.Parts{
 		AvailabilityZone: i.set.Instance.AvailabilityZone,
@@ -167,6 +172,7 @@
 		Orders:           i.orders,
 		Retries:          dispatch.NewRetries(),
 		Sampler:          i.sampler,
+		Demand:           i.demand,
 		Metrics:          i.metrics,
 		Classes:          i.classes,
 		Traces:           dispatch.NewTraces(),
@@ -233,6 +239,7 @@
 		{i.copies.Duty(), i.orders.Duty(), i.reporter.Duty(), (&quarantines{instance: i}).duty(), i.tls.duty()},
 		i.sampler.Duties(),
 		i.limits.duties(),
+		i.placement.duties(),
 	} {
 		for _, duty := range duties {
 			i.duties.Add(duty)
--- a/internal/app/drain.go
+++ b/internal/app/drain.go
@@ -38,6 +38,7 @@
 	durable := i.makeDurable()
 	i.closeServers()
 	i.duties.Stop()
+	i.placement.release()
 	i.deregister()
 	for _, closer := range i.closers {
 		closer()
--- a/internal/app/peers.go
+++ b/internal/app/peers.go
@@ -157,6 +157,10 @@
 		BillCopy: i.copies.Receive,
 		Evidence: i.owner.Take,
 		Demand: func(report api.DemandReport) (api.LimitGrants, error) {
+			if len(report.Demands) == 0 {
+				i.demand.Take(report, time.Now())
+				return api.LimitGrants{}, nil
+			}
 			view := i.limits.view()
 			return i.limits.allocator.Report(report, view.Members, view.Limits, time.Now()), nil
 		},
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -132,10 +132,12 @@
 	if !j.router.Servers.Begin(server.Entry.Id) {
 		return retry.Attempt{}, server.Entry.Id, errors.Errorf("backend server %s is leaving", server.Entry.Id)
 	}
+	j.router.Demand.Begin(s.version, time.Now())
 	result, err := s.exchange(ctx, server)
 	j.trace = append(j.trace, s.explain(server.Entry.Id, err))
 	failed := err != nil && retry.Failed(result) && ctx.Err() == nil
 	now := time.Now()
+	j.router.Demand.End(s.version, now)
 	j.router.Servers.End(server.Entry.Id, failed, now)
 	until := j.router.Retries.Ejections.End(server.Entry.Id, failed, now, j.random)
 	j.router.Servers.Update(server.Entry.Id, func(row *table.Server) { row.EjectedUntil = until })
--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -14,6 +14,7 @@
 	"github.com/cicadawall/cicadawall/internal/admission"
 	"github.com/cicadawall/cicadawall/internal/api"
 	"github.com/cicadawall/cicadawall/internal/declaration"
+	"github.com/cicadawall/cicadawall/internal/demand"
 	"github.com/cicadawall/cicadawall/internal/engine/stream"
 	"github.com/cicadawall/cicadawall/internal/fault"
 	"github.com/cicadawall/cicadawall/internal/order"
@@ -240,7 +241,7 @@
 	b.router = NewRouter(Parts{
 		Config: config, Servers: servers, Prefixes: routing.NewPrefixIndex(100), Queue: queue, Planner: NewPlanner(b.table),
 		Sessions: pins, Ledger: b.ledger, Limiter: noLimits{}, Engine: b.engine, Orders: noOrders{}, Retries: NewRetries(),
-		Sampler: b.sampler, Metrics: telemetry.NewMetrics(), Classes: status.NewClasses(), Traces: NewTraces(), Log: slog.New(slog.DiscardHandler),
+		Sampler: b.sampler, Demand: demand.NewTable(time.Now()), Metrics: telemetry.NewMetrics(), Classes: status.NewClasses(), Traces: NewTraces(), Log: slog.New(slog.DiscardHandler),
 	})
 	b.pool = worker.NewPool(2, queue)
 	return b
--- a/internal/dispatch/router.go
+++ b/internal/dispatch/router.go
@@ -11,6 +11,7 @@
 	"github.com/cicadawall/cicadawall/internal/admission"
 	"github.com/cicadawall/cicadawall/internal/api"
 	"github.com/cicadawall/cicadawall/internal/declaration"
+	"github.com/cicadawall/cicadawall/internal/demand"
 	"github.com/cicadawall/cicadawall/internal/fault"
 	"github.com/cicadawall/cicadawall/internal/order"
 	"github.com/cicadawall/cicadawall/internal/quality"
@@ -65,6 +66,7 @@
 	Orders           Orders
 	Retries          *Retries
 	Sampler          Sampler
+	Demand           *demand.Table
 	Metrics          *telemetry.Metrics
 	Classes          *status.Classes
 	Traces           *Traces
--- a/internal/standin/engine/load.go
+++ b/internal/standin/engine/load.go
@@ -46,6 +46,8 @@
 		KvUse:     s.cache.share(),
 		AgeMillis: settings.LoadLagMillis,
 		Draining:  settings.Draining,
+		Slots:     settings.Slots,
 		Versions:  s.state.loadedVersions(now),
+		Loading:   s.state.loadingVersions(now),
 	}
 }
--- a/internal/standin/engine/state.go
+++ b/internal/standin/engine/state.go
@@ -45,6 +45,7 @@
 	settings.TokenMillis = cmp.Or(settings.TokenMillis, defaultTokenMillis)
 	settings.PrefillMicros = cmp.Or(settings.PrefillMicros, defaultPrefill)
 	settings.CacheBlocks = cmp.Or(settings.CacheBlocks, defaultCacheBlocks)
+	settings.Slots = cmp.Or(settings.Slots, max(1, len(settings.Versions)))
 	return settings
 }
 
@@ -54,12 +55,13 @@
 	return t
 }
 
-// setSettings replaces the settings. Versions that it names are added or changed, others stay. Batch, queue and cache
-// keep the sizes of the start.
+// setSettings replaces the settings. Versions that it names are added or changed, others stay. Batch, queue, cache
+// and, unless stated, slots keep the sizes of the start.
 func (t *stateTable) setSettings(settings api.EngineStandinSettings) {
-	settings = withDefaults(settings)
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	settings.Slots = cmp.Or(settings.Slots, t.settings.Slots)
+	settings = withDefaults(settings)
 	for _, version := range settings.Versions {
 		t.setVersionLocked(version)
 	}
@@ -134,6 +136,20 @@
 	return t.loadedLocked(now)
 }
 
+// loadingVersions returns the versions whose load has not ended.
+func (t *stateTable) loadingVersions(now time.Time) []api.LoadedVersion {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var versions []api.LoadedVersion
+	for _, key := range t.keysLocked() {
+		state := t.versions[key]
+		if state.settings.Loaded && now.Before(state.readyAt) {
+			versions = append(versions, api.LoadedVersion{Model: key.model, Version: key.version})
+		}
+	}
+	return versions
+}
+
 func (t *stateTable) loadedLocked(now time.Time) []api.LoadedVersion {
 	versions := []api.LoadedVersion{}
 	for _, key := range t.keysLocked() {
