--- a/internal/placement/controller/controller_test.go
+++ b/internal/placement/controller/controller_test.go
@@ -156,6 +156,25 @@
 	})
 }
 
+// Guards against a repeated unload that removes the last replica, because the other one left after the decision.
+func TestRepeatedUnloadChecksAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite("a", "b")
+		s.engine("e1", true, "a")
+		s.engine("e2", true, "a")
+		h := newHolder(s, "one")
+		h.beforeCommand = func(id string, _ api.EngineCommand) error {
+			for other, e := range s.engines {
+				e.load.Draining = other != id
+			}
+			h.beforeCommand = nil
+			return errors.New("lost")
+		}
+		h.rounds(t, 3)
+		wantReplicas(t, s, "a")
+	})
+}
+
 // Guards against an unload of the last replica of a usable version when commands and replies get lost and demand,
 // declarations and holders change, and against a fleet that never settles.
 func TestUsableVersionsKeepAReplica(t *testing.T) {
--- a/internal/placement/controller/fake_test.go
+++ b/internal/placement/controller/fake_test.go
@@ -90,7 +90,7 @@
 func (s *site) replicas(name string) int {
 	count := 0
 	for _, e := range s.engines {
-		if contains(e.load.Versions, version(name)) {
+		if !e.load.Draining && contains(e.load.Versions, version(name)) {
 			count++
 		}
 	}
