Bill a resumed answer for the tokens of all its attempts

Engines report usage of a resumed answer for that attempt only, so the last attempt's usage replaced the earlier tokens. The answer now counts the prompt once and the completion tokens of each attempt; the fake engine reports usage as the stand-in does.

--- a/internal/dispatch/answer.go
+++ b/internal/dispatch/answer.go
@@ -28,12 +28,16 @@
 
 // answer is what one step of a chain produced.
 type answer struct {
-	version      declaration.VersionID
-	text         strings.Builder
-	chunks       int
-	usage        *api.Usage
-	finishReason string
-	confidence   float64
+	version declaration.VersionID
+	text    strings.Builder
+	chunks  int
+	// usage is what the engine of the current attempt sent; it counts the tokens of that attempt only.
+	usage *api.Usage
+	// earlier counts the completion tokens of the attempts before the current one; earlierChunks counts their chunks.
+	earlier       int
+	earlierChunks int
+	finishReason  string
+	confidence    float64
 	// escalate means that the answer was too weak to pass on.
 	escalate bool
 	// second means that the answer is the second step of a chain.
@@ -42,6 +46,15 @@
 	promptTokens int
 }
 
+// resume starts another attempt, which continues the answer after its last chunk.
+func (a *answer) resume() {
+	usage := a.tokens()
+	a.earlier = usage.CompletionTokens
+	a.earlierChunks = a.chunks
+	a.promptTokens = usage.PromptTokens
+	a.usage = nil
+}
+
 // add takes the next chunk of the answer.
 func (a *answer) add(chunk stream.Chunk) {
 	if chunk.Body.Usage != nil {
@@ -56,16 +69,15 @@
 	}
 }
 
-// tokens returns the engine's usage, or an estimate of one token a chunk if the answer ended before it arrived.
+// tokens returns the tokens of the answer over all attempts: the prompt once, and the completion tokens of each attempt by
+// the engine's usage, or by an estimate of one token a chunk if the attempt ended before its usage arrived.
 func (a *answer) tokens() api.Usage {
+	prompt, completion := a.promptTokens, a.chunks-a.earlierChunks
 	if a.usage != nil {
-		return *a.usage
-	}
-	return api.Usage{
-		PromptTokens:     a.promptTokens,
-		CompletionTokens: a.chunks,
-		TotalTokens:      a.promptTokens + a.chunks,
+		prompt, completion = a.usage.PromptTokens, a.usage.CompletionTokens
 	}
+	completion += a.earlier
+	return api.Usage{PromptTokens: prompt, CompletionTokens: completion, TotalTokens: prompt + completion}
 }
 
 func (a *answer) line(kind string, snapshot *declaration.Snapshot) api.BillLine {
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -121,6 +121,7 @@
 	j := s.job
 	server, problem := j.router.chooseServer(s.version, j.request.Body.Messages, s.tried, j.random)
 	s.attempts++
+	s.answer.resume()
 	if problem != nil {
 		s.refusal = problem
 		if j.started {
--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -137,7 +137,9 @@
 		choice.Logprobs = &api.Logprobs{Content: []api.TokenLogprob{{Logprob: c.engine.logprob[c.attempt.Version]}}}
 	case sequence == words+1:
 		choice.FinishReason = "stop"
-		chunk.Body.Usage = &api.Usage{PromptTokens: 7, CompletionTokens: int(words), TotalTokens: 7 + int(words)}
+		// As engines do, the usage counts the tokens of this attempt only.
+		generated := int(words - c.attempt.ResumeAfter)
+		chunk.Body.Usage = &api.Usage{PromptTokens: 7, CompletionTokens: generated, TotalTokens: 7 + generated}
 	case sequence == words+2:
 		chunk.End = true
 		return chunk, nil
@@ -261,6 +263,7 @@
 	version declaration.VersionID
 	session string
 	ended   bool
+	usage   api.Usage
 	problem *fault.Error
 }
 
@@ -288,7 +291,7 @@
 		case EventText:
 			seen.text += event.Text
 		case EventEnd:
-			seen.ended = true
+			seen.ended, seen.usage = true, event.Usage
 		}
 	}
 }
--- a/internal/dispatch/model_test.go
+++ b/internal/dispatch/model_test.go
@@ -11,6 +11,7 @@
 	"github.com/cicadawall/cicadawall/internal/api"
 	"github.com/cicadawall/cicadawall/internal/cascade"
 	"github.com/cicadawall/cicadawall/internal/declaration"
+	"github.com/cicadawall/cicadawall/internal/engine/stream"
 	"github.com/cicadawall/cicadawall/internal/fault"
 )
 
@@ -47,9 +48,47 @@
 		if len(b.ledger.bills) != 1 {
 			t.Errorf("%d bills, want 1", len(b.ledger.bills))
 		}
+		line := b.ledger.bills[0].Lines[0]
+		if line.PromptTokens != 7 || line.CompletionTokens != 5 || line.Cost != 0.012 {
+			t.Errorf("billed %+v, want 7 prompt tokens and 5 completion tokens", line)
+		}
+		if diff := cmp.Diff(api.Usage{PromptTokens: 7, CompletionTokens: 5, TotalTokens: 12}, got.usage); diff != "" {
+			t.Errorf("usage of the caller (-want +got):\n%s", diff)
+		}
 	})
 }
 
+// Guards against a resumed answer that is billed only for its last attempt, or for the prompt once an attempt.
+func TestTokensOfResumedAnswer(t *testing.T) {
+	text := func() stream.Chunk {
+		return stream.Chunk{Body: api.ChatCompletionChunk{Choices: []api.ChunkChoice{{Delta: api.ChunkDelta{Content: "x"}}}}}
+	}
+	usage := func(prompt, completion int) stream.Chunk {
+		return stream.Chunk{Body: api.ChatCompletionChunk{Usage: &api.Usage{PromptTokens: prompt, CompletionTokens: completion}}}
+	}
+	cases := []struct {
+		name     string
+		attempts [][]stream.Chunk
+		want     api.Usage
+	}{
+		{"cut before usage", [][]stream.Chunk{{text(), text()}, {text(), usage(9, 1)}}, api.Usage{PromptTokens: 9, CompletionTokens: 3, TotalTokens: 12}},
+		{"cut after usage", [][]stream.Chunk{{text(), usage(9, 3)}, {}}, api.Usage{PromptTokens: 9, CompletionTokens: 3, TotalTokens: 12}},
+		{"no usage", [][]stream.Chunk{{text()}, {}, {text()}}, api.Usage{PromptTokens: 4, CompletionTokens: 2, TotalTokens: 6}},
+	}
+	for _, c := range cases {
+		a := &answer{promptTokens: 4}
+		for _, chunks := range c.attempts {
+			a.resume()
+			for _, chunk := range chunks {
+				a.add(chunk)
+			}
+		}
+		if diff := cmp.Diff(c.want, a.tokens()); diff != "" {
+			t.Errorf("%s (-want +got):\n%s", c.name, diff)
+		}
+	}
+}
+
 // Guards against a cut answer that is passed on as a success when no attempt can complete it.
 func TestAnswerThatCannotBeResumedHasNoEnd(t *testing.T) {
 	run(t, func(t *testing.T, b *bench) {
