--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -18,6 +18,7 @@
 	"github.com/cicadawall/cicadawall/internal/api"
 	"github.com/cicadawall/cicadawall/internal/billing"
 	"github.com/cicadawall/cicadawall/internal/configsync"
+	"github.com/cicadawall/cicadawall/internal/demand"
 	"github.com/cicadawall/cicadawall/internal/dispatch"
 	"github.com/cicadawall/cicadawall/internal/engine"
 	"github.com/cicadawall/cicadawall/internal/fleet"
@@ -80,6 +81,8 @@
 	reporter   *quality.Reporter
 	sampler    *quality.Sampler
 	classes    *status.Classes
+	demand     *demand.Table
+	placement  *placements
 	tls        *tlsSet
 	operators  access.OperatorKeys
 
@@ -101,6 +104,7 @@
 		versions:    quality.NewTable(),
 		metrics:     telemetry.NewMetrics(),
 		classes:     status.NewClasses(),
+		demand:      demand.NewTable(time.Now()),
 	}
 	bound := settings.Millis(set.Timing.FreshnessBoundMillis)
 	i.config = table.NewConfig(bound, i.peers.Majority(bound))
@@ -156,6 +160,7 @@
 		Servers:     &dispatch.PlainServers{Servers: i.servers, AvailabilityZone: i.set.Instance.AvailabilityZone},
 		Incarnation: i.incarnation,
 	})
+	i.placement = i.newPlacements(client)
 	i.queue = admission.NewQueue(i.set.Limits.QueueLength)
 	i.router = dispatch.NewRouter(dispatch.Parts{
 		AvailabilityZone: i.set.Instance.AvailabilityZone,
@@ -173,6 +178,7 @@
 		Orders:           i.orders,
 		Retries:          dispatch.NewRetries(),
 		Sampler:          i.sampler,
+		Demand:           i.demand,
 		Metrics:          i.metrics,
 		Classes:          i.classes,
 		Traces:           dispatch.NewTraces(),
@@ -239,6 +245,7 @@
 		{i.copies.Duty(), i.orders.Duty(), i.reporter.Duty(), (&quarantines{instance: i}).duty(), i.tls.duty()},
 		i.sampler.Duties(),
 		i.limits.duties(),
+		i.placement.duties(),
 	} {
 		for _, duty := range duties {
 			i.duties.Add(duty)
--- a/internal/app/drain.go
+++ b/internal/app/drain.go
@@ -38,6 +38,7 @@
 		MakeDurable: i.makeDurable,
 		Close:       i.closeServers,
 		Deregister: func() {
+			i.placement.release()
 			// Duties run until the registration has ended, so that the instance confirms its configuration up to then.
 			i.deregister()
 			i.duties.Stop()
--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -15,6 +15,7 @@
 	"github.com/cicadawall/cicadawall/internal/admission"
 	"github.com/cicadawall/cicadawall/internal/api"
 	"github.com/cicadawall/cicadawall/internal/declaration"
+	"github.com/cicadawall/cicadawall/internal/demand"
 	"github.com/cicadawall/cicadawall/internal/engine/stream"
 	"github.com/cicadawall/cicadawall/internal/fault"
 	"github.com/cicadawall/cicadawall/internal/order"
@@ -137,7 +138,9 @@
 		choice.Logprobs = &api.Logprobs{Content: []api.TokenLogprob{{Logprob: c.engine.logprob[c.attempt.Version]}}}
 	case sequence == words+1:
 		choice.FinishReason = "stop"
-		chunk.Body.Usage = &api.Usage{PromptTokens: 7, CompletionTokens: int(words), TotalTokens: 7 + int(words)}
+		// As engines do, the usage counts the tokens of this attempt only.
+		generated := int(words - c.attempt.ResumeAfter)
+		chunk.Body.Usage = &api.Usage{PromptTokens: 7, CompletionTokens: generated, TotalTokens: 7 + generated}
 	case sequence == words+2:
 		chunk.End = true
 		return chunk, nil
@@ -241,7 +244,8 @@
 	b.router = NewRouter(Parts{
 		Config: config, Servers: servers, Prefixes: routing.NewPrefixIndex(100), Queue: queue, Planner: NewPlanner(b.table),
 		Sessions: pins, Ledger: b.ledger, Limiter: noLimits{}, Engine: b.engine, Orders: noOrders{}, Retries: NewRetries(),
-		Sampler: b.sampler, Metrics: telemetry.NewMetrics(), Classes: status.NewClasses(), Traces: NewTraces(), Log: slog.New(slog.DiscardHandler),
+		Sampler: b.sampler, Demand: demand.NewTable(time.Now()), Metrics: telemetry.NewMetrics(), Classes: status.NewClasses(),
+		Traces: NewTraces(), Log: slog.New(slog.DiscardHandler),
 		Random: func() *rand.Rand { return rand.New(rand.NewPCG(3, 4)) }, // Draws no exploration.
 	})
 	b.pool = worker.NewPool(2, queue)
@@ -262,6 +266,7 @@
 	version declaration.VersionID
 	session string
 	ended   bool
+	usage   api.Usage
 	problem *fault.Error
 }
 
@@ -289,7 +294,7 @@
 		case EventText:
 			seen.text += event.Text
 		case EventEnd:
-			seen.ended = true
+			seen.ended, seen.usage = true, event.Usage
 		}
 	}
 }
