--- a/internal/cli/config_run.go
+++ b/internal/cli/config_run.go
@@ -109,7 +109,7 @@
 func (p printer) applied(req api.ApplyRequest, response api.ApplyResponse) {
 	switch response.State {
 	case api.ApplyAccepted:
-		fmt.Fprintf(p.out, "accepted: revision %d is in force everywhere (%d ms)\n", response.Revision, response.ElapsedMillis)
+		p.accepted(response)
 	case api.ApplyPending:
 		fmt.Fprintf(p.out, "pending: revision %d is committed, not yet in force at %s\n", response.Revision, strings.Join(response.NotInForce, ", "))
 	case api.ApplyValid:
@@ -127,6 +127,16 @@
 	}
 }
 
+// accepted names the instances that acknowledged nothing: they serve no older revision, because they take no new work.
+func (p printer) accepted(response api.ApplyResponse) {
+	if len(response.NotInForce) == 0 {
+		fmt.Fprintf(p.out, "accepted: revision %d is in force everywhere (%d ms)\n", response.Revision, response.ElapsedMillis)
+		return
+	}
+	fmt.Fprintf(p.out, "accepted: revision %d is in force wherever work is taken (%d ms); not acknowledged by %s, which takes no new work until it has it\n",
+		response.Revision, response.ElapsedMillis, strings.Join(response.NotInForce, ", "))
+}
+
 func exitOf(state api.ApplyResponseState) int {
 	switch state {
 	case api.ApplyAccepted, api.ApplyValid:
--- a/internal/cli/config_test.go
+++ b/internal/cli/config_test.go
@@ -85,6 +85,7 @@
 		shown    string
 	}{
 		{api.ApplyResponse{State: api.ApplyAccepted, Revision: 8}, ExitDone, "accepted: revision 8"},
+		{api.ApplyResponse{State: api.ApplyAccepted, Revision: 8, NotInForce: []string{"entry-9"}}, ExitDone, "not acknowledged by entry-9"},
 		{api.ApplyResponse{State: api.ApplyValid, Revision: 7}, ExitDone, "valid"},
 		{api.ApplyResponse{State: api.ApplyInvalid, Problems: []api.Problem{{Line: 3, Field: "f", Message: "bad"}}}, ExitInvalid, "d.yaml:3:0: f: bad"},
 		{api.ApplyResponse{State: api.ApplyConflict, ConflictRevision: 8, ConflictChangeID: "c8", ConflictAuthor: "bob"}, ExitConflict, "change c8 by bob"},
