Stop reports of an instance before it ends its registration

Deregister retires the own reports first. TestLeavingInstanceSupportsNoMajority is red without the rule.

--- a/internal/configsync/findings_test.go
+++ b/internal/configsync/findings_test.go
@@ -221,6 +221,23 @@
 	})
 }
 
+// Finding F8. Guards against an instance that ended its registration, answers peers and supports an older revision.
+func TestLeavingInstanceSupportsNoMajority(t *testing.T) {
+	inSteps(t, 1, func(t *testing.T, c *cluster) {
+		l, a, x := c.nodes[0], c.add(0), c.add(0)
+		l.must("deregister", l.members.Deregister)
+		a.must("register", a.members.Register)
+		a.poll()
+		done := a.begin()
+		a.poll()
+		accepted(t, done)
+		x.cut.Store(true)
+		x.hear(l)
+		_ = x.syncer.PollOrColdStart(t.Context())
+		c.expect("after acceptance", []*node{x}, 0)
+	})
+}
+
 // Guards against an instance without registration that serves by the reports of others after an acceptance that could not
 // know of it.
 func TestRestartDuringOutageBesideAcceptance(t *testing.T) {
--- a/internal/membership/register.go
+++ b/internal/membership/register.go
@@ -45,6 +45,7 @@
 	if !registered {
 		return nil
 	}
+	s.opts.Peers.Retire()
 	if _, err := s.appendRow(ctx, ending(s.opts.Registration, self)); err != nil {
 		return notRegistered(err)
 	}
--- a/internal/quorum/schedule_test.go
+++ b/internal/quorum/schedule_test.go
@@ -25,13 +25,14 @@
 	died      time.Time
 	store     bool
 	partition int
+	// leaving holds from the deregistration on: the instance takes no work, but reads the log and answers peers.
+	leaving bool
 }
 
 type change struct {
-	by        *node
-	revision  int64
-	read      bool
-	satisfied time.Time
+	by         *node
+	read       bool
+	acceptance quorum.Acceptance
 }
 
 type world struct {
@@ -55,20 +56,25 @@
 	n := &node{name: fmt.Sprint(len(w.nodes)), peers: table.NewPeers(), alive: true, store: true}
 	n.config = table.NewConfig(bound, n.peers.Majority(bound))
 	w.nodes = append(w.nodes, n)
-	if len(w.nodes) > 4 {
-		n.partition = rapid.IntRange(0, 1).Draw(w.t, "side of peers")
+	if len(w.nodes) <= 4 {
+		w.register(n)
+		return
 	}
-	w.register(n)
+	n.partition = rapid.IntRange(0, 1).Draw(w.t, "side of peers")
+	n.store = rapid.Bool().Draw(w.t, "starts with store")
 }
 
 func (w *world) register(n *node) {
-	if _, registered := n.peers.Self(); registered || !w.readLog(n) {
+	if _, registered := n.peers.Self(); registered || n.leaving || !w.readLog(n) {
 		return
 	}
 	row := table.Registered{Sequence: int64(len(w.log) + 1), Registration: api.Registration{Incarnation: n.name, Name: n.name}}
 	w.log = append(w.log, row)
 	n.peers.SetSelf(row.Sequence, w.now)
 	w.readLog(n)
+	if len(w.nodes) > 4 && w.chance(2, "loses store after registration") {
+		n.store = false
+	}
 	if len(w.nodes) <= 4 {
 		w.readConfig(n)
 	}
@@ -108,7 +114,10 @@
 	}
 	digest := membership.Build(from.name, from.peers, from.config.State().Confirmed, w.now)
 	if digest.LastSequence > to.peers.Last() && rapid.Bool().Draw(w.t, "adopts") {
-		to.peers.Adopt(from.peers.Since(to.peers.Last()))
+		// As membership.Service does: the revision first.
+		set := from.peers.Since(to.peers.Last())
+		to.config.Heard(from.config.State().Newest)
+		to.peers.Adopt(set)
 	}
 	newest := membership.Merge(digest, w.now, to.peers)
 	if newest <= to.config.Revision() {
@@ -123,7 +132,7 @@
 // coldStart is the rule of an instance that cannot read the store.
 func (w *world) coldStart(n *node) {
 	revision := n.peers.View().Adoptable(bound, w.now)
-	if !n.alive || revision == 0 || n.peers.Reporting() {
+	if !n.alive || n.store || revision == 0 || n.peers.Reporting() {
 		return
 	}
 	w.install(n, revision)
@@ -135,8 +144,13 @@
 		return
 	}
 	w.revision++
-	w.open = &change{by: n, revision: w.revision}
-	w.readConfig(n)
+	w.open = &change{by: n, acceptance: quorum.Acceptance{Revision: w.revision, Bound: bound}}
+	if rapid.Bool().Draw(w.t, "reads log after commit") {
+		w.open.read = w.readLog(n)
+	}
+	if rapid.Bool().Draw(w.t, "polls after commit") {
+		w.readConfig(n)
+	}
 }
 
 func (w *world) checkAcceptance() {
@@ -144,16 +158,14 @@
 		w.open = nil
 		return
 	}
-	w.open.read = w.readLog(w.open.by) || w.open.read
-	verdict := quorum.Required(w.open.by.peers.View().Members, w.open.revision)
-	if !w.open.read || !verdict.Satisfied {
+	by := w.open.by
+	w.open.read = w.open.read || w.readLog(by)
+	if !w.open.read {
 		return
 	}
-	if w.open.satisfied.IsZero() {
-		w.open.satisfied = w.now
-	}
-	if len(verdict.Missing) == 0 || w.now.Sub(w.open.satisfied) >= 2*bound {
-		w.accepted = max(w.accepted, w.open.revision)
+	members := func() []quorum.Member { return by.peers.View().Members }
+	if accepted, _ := w.open.acceptance.Check(w.now, members, func() bool { return w.readLog(by) }); accepted {
+		w.accepted = max(w.accepted, w.open.acceptance.Revision)
 		w.open = nil
 	}
 }
@@ -161,13 +173,20 @@
 // leave ends an instance: by its own deregistration, or by a crash and the removal after 30 s of absence.
 func (w *world) leave(n *node) {
 	self, registered := n.peers.Self()
-	if n.alive {
+	switch {
+	case n.leaving:
+		n.alive = false
+		return
+	case !n.alive && w.now.Sub(n.died) < 30*time.Second:
+		return
+	case n.alive && (!n.store || rapid.Bool().Draw(w.t, "crashes")):
 		n.alive, n.died = false, w.now
-		if !n.store || rapid.Bool().Draw(w.t, "crashes") {
-			return
-		}
-	} else if w.now.Sub(n.died) < 30*time.Second {
 		return
+	case n.alive:
+		// The row is inserted at the end of the log, which the instance has read therefore.
+		n.leaving = true
+		n.peers.Retire()
+		w.readLog(n)
 	}
 	if registered && !w.ended(self) {
 		w.log = append(w.log, table.Registered{
@@ -200,7 +219,7 @@
 	if w.chance(4, "move?") {
 		n := w.pick("moves")
 		n.partition = rapid.IntRange(0, 1).Draw(w.t, "to")
-		n.store = n.partition == 0
+		n.store = rapid.Bool().Draw(w.t, "with store")
 	}
 	if w.chance(4, "commit?") {
 		w.commit(w.pick("commits"))
@@ -215,7 +234,9 @@
 }
 
 func (w *world) round(n *node) {
-	w.register(n)
+	if w.chance(2, "registers") {
+		w.register(n)
+	}
 	if w.chance(2, "reads log") {
 		w.readLog(n)
 	}
@@ -239,7 +260,7 @@
 			w.step()
 			for _, n := range w.nodes {
 				snapshot, refused := n.config.Current(w.now)
-				if n.alive && refused == nil && snapshot.Revision < w.accepted {
+				if n.alive && !n.leaving && refused == nil && snapshot.Revision < w.accepted {
 					t.Fatalf("instance %s serves revision %d after revision %d was accepted", n.name, snapshot.Revision, w.accepted)
 				}
 			}
--- a/internal/table/peers.go
+++ b/internal/table/peers.go
@@ -41,6 +41,8 @@
 	// reports holds once the store was read after the registration; adopted while the revision comes from peers only.
 	reports bool
 	adopted bool
+	// retired holds from the moment before the own registration is ended.
+	retired bool
 }
 
 // NewPeers returns an empty table.
@@ -147,7 +149,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.revision = max(t.revision, revision)
-	t.reports = t.reports || t.self != 0 && !start.Before(t.since)
+	t.reports = t.reports || !t.retired && t.self != 0 && !start.Before(t.since)
 	t.adopted = t.adopted && !t.reports
 	t.ownLocked()
 }
@@ -168,6 +170,17 @@
 	t.ownLocked()
 }
 
+// Retire ends the reports of the own revision for good. It is called before the own registration is ended: an instance that
+// others no longer count, and that has not read so, must support no majority.
+func (t *Peers) Retire() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.retired, t.reports, t.adopted = true, false, false
+	if row, ok := t.rows[t.self]; ok {
+		row.Revision = 0
+	}
+}
+
 // Reporting reports whether peers are told the own revision.
 func (t *Peers) Reporting() bool {
 	t.mu.RLock()
