--- a/internal/quorum/schedule_test.go
+++ b/internal/quorum/schedule_test.go
@@ -43,6 +43,8 @@
 	nodes    []*node
 	open     *change
 	accepted int64
+	// starts, leaves, moves and commits are the rounds between two such events on average.
+	starts, leaves, moves, commits int
 }
 
 func (w *world) pick(label string) *node {
@@ -210,18 +212,18 @@
 // step is one round of 1 s: rare events, then the polls and pulls of every instance.
 func (w *world) step() {
 	w.now = w.now.Add(time.Second)
-	if w.chance(4, "start?") {
+	if w.chance(w.starts, "start?") {
 		w.start()
 	}
-	if w.chance(12, "leave?") {
+	if w.chance(w.leaves, "leave?") {
 		w.leave(w.pick("leaves"))
 	}
-	if w.chance(4, "move?") {
+	if w.chance(w.moves, "move?") {
 		n := w.pick("moves")
 		n.partition = rapid.IntRange(0, 1).Draw(w.t, "to")
 		n.store = rapid.Bool().Draw(w.t, "with store")
 	}
-	if w.chance(4, "commit?") {
+	if w.chance(w.commits, "commit?") {
 		w.commit(w.pick("commits"))
 	}
 	for _, n := range w.nodes {
@@ -253,6 +255,8 @@
 func TestNoOldRevisionServesAfterAcceptance(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := &world{t: t, now: time.Unix(1000, 0), revision: 1}
+		rate := func(label string) int { return rapid.SampledFrom([]int{3, 8, 20}).Draw(t, label) }
+		w.starts, w.leaves, w.moves, w.commits = rate("starts"), rate("leaves"), rate("moves"), rate("commits")
 		for range rapid.IntRange(1, 5).Draw(t, "instances") {
 			w.start()
 		}
