Add make bench, which measures the overhead of the request path

The instance had no measurement of what it adds to a call of an engine. cmd/bench starts platform stand-in, engine stand-in and one instance as processes on loopback, sends the same streams directly and through the instance in turns, and prints time to the first token, requests a second per core and memory per open stream for 1, 100 and 2,000 streams.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 TOOL := $(GO) tool -modfile=tools/go.mod
 
-.PHONY: help build generate check-generate fmt-check lint test model model-mutants matrix matrix-mutants ci demo bench-policy
+.PHONY: help build generate check-generate fmt-check lint test model model-mutants matrix matrix-mutants ci demo bench bench-policy
 
 help: ## List the targets.
 	@grep -hE '^[a-z-]+:.*## ' $(MAKEFILE_LIST) | sed 's/:.*## /: /'
@@ -50,6 +50,9 @@
 demo: build ## Start instances and stand-ins on loopback, send requests and print what happened.
 	scripts/demo.sh
 
+bench: build ## Measure the overhead of the request path against direct calls of the engine stand-in; takes about a minute.
+	bin/bench --binaries bin
+
 bench-policy: ## Measure the decisions: tables to standard output, plots to docs/plots, then the benchmarks.
 	$(GO) run ./cmd/benchpolicy --seeds 10 --plots docs/plots
 	$(GO) test -run '^$$' -bench . -benchmem ./internal/routing ./internal/cascade
