Use connections to engines again after an answer; read events by line

A stream was closed at its end marker, before the end of its body, so that its connection was closed and most requests dialled a new one. The rest of the body is now read, for at most 20 ms and 4 KB.

--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -3,9 +3,12 @@
 import (
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -299,3 +302,35 @@
 		t.Fatalf("export of an unknown completion: %v", err)
 	}
 }
+
+// Guards against a new connection for each answer.
+func TestConnectionIsUsedAgain(t *testing.T) {
+	server, _, _ := startEngine(t, nil)
+	listener := httptest.NewUnstartedServer(server)
+	t.Cleanup(listener.Close)
+	var opened atomic.Int64
+	listener.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			opened.Add(1)
+		}
+	}
+	listener.Start()
+	client := newTestClient(t)
+	for n := range 5 {
+		stream, err := client.Stream(t.Context(), strings.TrimPrefix(listener.URL, "http://"), request(strconv.Itoa(n)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for ended := false; !ended; {
+			chunk, err := stream.Next()
+			if err != nil {
+				t.Fatal(err)
+			}
+			ended = chunk.End
+		}
+		stream.Close()
+	}
+	if opened.Load() != 1 {
+		t.Errorf("%d connections for 5 answers, want 1", opened.Load())
+	}
+}
--- a/internal/engine/sse/decoder.go
+++ b/internal/engine/sse/decoder.go
@@ -89,24 +89,33 @@
 func (d *Decoder) readLine() ([]byte, error) {
 	d.line = d.line[:0]
 	for {
-		next, err := d.reader.ReadByte()
-		if err != nil {
+		if _, err := d.reader.Peek(1); err != nil {
 			return nil, err
 		}
+		buffered, _ := d.reader.Peek(d.reader.Buffered())
 		if d.skipLF {
 			d.skipLF = false
-			if next == '\n' {
+			if buffered[0] == '\n' {
+				_, _ = d.reader.Discard(1)
 				continue
 			}
 		}
-		if next == '\n' || next == '\r' {
-			d.skipLF = next == '\r'
-			return d.endLine(), nil
+		end := bytes.IndexAny(buffered, "\r\n")
+		part := buffered
+		if end >= 0 {
+			part = buffered[:end]
 		}
-		if len(d.line) == maxLineBytes {
+		if len(d.line)+len(part) > maxLineBytes {
 			return nil, ErrTooLarge
 		}
-		d.line = append(d.line, next)
+		d.line = append(d.line, part...)
+		if end < 0 {
+			_, _ = d.reader.Discard(len(part))
+			continue
+		}
+		d.skipLF = buffered[end] == '\r'
+		_, _ = d.reader.Discard(end + 1)
+		return d.endLine(), nil
 	}
 }
 
--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -19,6 +19,9 @@
 	streamStep = "stream"
 	// endMarker is the data of the last event of a stream.
 	endMarker = "[DONE]"
+	// maxRestBytes and restTimeout bound what is read after the end marker to use the connection again.
+	maxRestBytes = 4 << 10
+	restTimeout  = 20 * time.Millisecond
 )
 
 // ErrStalled is the cause of a stream that was silent for longer than its stall timeout.
@@ -34,6 +37,8 @@
 	cancel   context.CancelCauseFunc
 	stall    time.Duration
 	watchdog *time.Timer
+	// ended is true once the end marker was read.
+	ended bool
 }
 
 func newStream(ctx context.Context, cancel context.CancelCauseFunc, peer string, request Request, response *http.Response) *Stream {
@@ -67,6 +72,7 @@
 	if err != nil {
 		return stream.Chunk{}, s.fail(err)
 	}
+	s.ended = s.ended || chunk.End
 	return chunk, nil
 }
 
@@ -111,10 +117,21 @@
 // Close ends the stream. If it has not ended by itself, its connection is closed and the engine cancels the completion.
 func (s *Stream) Close() {
 	s.unwatch()
+	if s.ended {
+		s.readRest()
+	}
 	s.cancel(nil)
 	_ = s.response.Body.Close()
 }
 
+// readRest reads what follows the end marker, normally only the end of the body. A body that was read to its end leaves the
+// connection to the next request.
+func (s *Stream) readRest() {
+	timer := time.AfterFunc(restTimeout, func() { s.cancel(nil) })
+	defer timer.Stop()
+	_, _ = io.CopyN(io.Discard, s.response.Body, maxRestBytes)
+}
+
 // decodeChunk reads one event. An id that is not a number counts as none.
 func decodeChunk(event sse.Event) (stream.Chunk, error) {
 	sequence, err := strconv.ParseInt(event.ID, 10, 64)
