Let the bill duties rest until a bill wakes them

Flushing and copying bills polled every 50 and 100 ms without any bill: 30 runs a second of an idle instance. A duty that found nothing in two runs now waits 10 s, and Ledger.Commit wakes it.

--- a/internal/app/peers.go
+++ b/internal/app/peers.go
@@ -125,6 +125,7 @@
 		Incarnation: i.incarnation,
 		Instances:   func() int { return max(1, i.peers.Count()) },
 		MinFlush:    settings.Millis(i.set.Timing.BillFlushMillis),
+		Wake:        func(duty string) { i.duties.Trigger(duty) },
 	}
 	i.ledger = billing.NewLedger(config)
 	i.copies = billing.NewCopies(config)
--- a/internal/billing/billing.go
+++ b/internal/billing/billing.go
@@ -38,6 +38,8 @@
 	Now func() time.Time
 	// MinFlush is the shortest interval between rows of one instance; default 50 ms.
 	MinFlush time.Duration
+	// Wake runs a duty of the ledger at once. If it is set, the duties rest while there is nothing to write or copy.
+	Wake func(duty string)
 	// Capacity bounds the bills that wait for the table service, and separately the copies held for peers; default 100,000.
 	Capacity int
 }
@@ -52,6 +54,8 @@
 	// copyInterval is the wait between rounds of copying, and with it the longest time for which a batch stays open while
 	// copies are made. It bounds the copies of one instance to 10 a second.
 	copyInterval = 100 * time.Millisecond
+	// restInterval is the wait of a duty that rests. A bill wakes it before; the run is only a second chance.
+	restInterval = 10 * time.Second
 	// copyTimeout bounds one copy to one peer.
 	copyTimeout = 500 * time.Millisecond
 	// storeTimeout bounds one call to the table service.
--- a/internal/billing/buffer.go
+++ b/internal/billing/buffer.go
@@ -1,6 +1,8 @@
 package billing
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cicadawall/cicadawall/internal/api"
@@ -42,10 +44,13 @@
 	holder string
 	copied int64
 	told   int64
+	// idle and resting name the duties that found nothing to do since the last bill, and those that wait for the next bill.
+	idle, resting map[string]bool
 }
 
 func newBuffer(capacity int) *buffer {
-	return &buffer{capacity: capacity, mu: lockorder.New(lockorder.RankBills), next: 1}
+	return &buffer{capacity: capacity, mu: lockorder.New(lockorder.RankBills), next: 1,
+		idle: map[string]bool{}, resting: map[string]bool{}}
 }
 
 func (b *buffer) size() int {
@@ -54,20 +59,40 @@
 	return b.bills
 }
 
-// add puts the bill into the open batch and returns the channel that is closed when it is durable.
-func (b *buffer) add(bill api.Bill, now time.Time) (<-chan struct{}, bool) {
+// add puts the bill into the open batch and returns the channel that is closed when it is durable, and the duties to wake.
+func (b *buffer) add(bill api.Bill, now time.Time) (durable <-chan struct{}, resting []string, ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.bills >= b.capacity {
-		return nil, false
+		return nil, nil, false
 	}
+	resting = slices.Sorted(maps.Keys(b.resting))
+	clear(b.resting)
+	clear(b.idle)
 	if b.open == nil {
 		b.open = &batch{sequence: b.next, opened: now, durable: make(chan struct{})}
 		b.next++
 	}
 	b.open.bills = append(b.open.bills, bill)
 	b.bills++
-	return b.open.durable, true
+	return b.open.durable, resting, true
+}
+
+// rest reports whether the duty may wait for the next bill: there was nothing to write, copy or tell at the end of its last
+// two runs. add returns the duty then.
+func (b *buffer) rest(duty string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.bills > 0 || (b.landed > b.told && b.copied > b.told) {
+		delete(b.idle, duty)
+		return false
+	}
+	if !b.idle[duty] {
+		b.idle[duty] = true
+		return false
+	}
+	b.resting[duty] = true
+	return true
 }
 
 // seal closes the open batch.
--- a/internal/billing/ledger.go
+++ b/internal/billing/ledger.go
@@ -32,10 +32,13 @@
 	if bill.Id == "" {
 		return notDurable("the bill has no identity")
 	}
-	durable, ok := l.buffer.add(bill, l.config.Now())
+	durable, resting, ok := l.buffer.add(bill, l.config.Now())
 	if !ok {
 		return notDurable("the buffer of bills is full")
 	}
+	for _, duty := range resting {
+		l.config.Wake(duty)
+	}
 	select {
 	case <-durable:
 		return nil
@@ -62,11 +65,28 @@
 	return FlushInterval(l.config.MinFlush, l.config.Instances())
 }
 
+// Names of the ledger's duties.
+const (
+	dutyFlush = "bill-flush"
+	dutyCopy  = "bill-copy"
+)
+
 // Duties returns the periodic duties that write and copy bills.
 func (l *Ledger) Duties() []worker.Duty {
 	return []worker.Duty{
-		{Name: "bill-flush", Interval: l.Interval, Timeout: 2 * storeTimeout, Run: l.Flush},
-		{Name: "bill-copy", Interval: worker.Every(copyInterval), Timeout: 4 * copyTimeout, Run: l.Copy},
+		{Name: dutyFlush, Interval: l.orRest(dutyFlush, l.Interval), Timeout: 2 * storeTimeout, Run: l.Flush},
+		{Name: dutyCopy, Interval: l.orRest(dutyCopy, worker.Every(copyInterval)), Timeout: 4 * copyTimeout, Run: l.Copy},
+	}
+}
+
+// orRest returns the wait of a duty: the interval, or restInterval if it has nothing to do until the next bill. A duty rests
+// only after a run that found nothing, so that two runs with work are always an interval apart.
+func (l *Ledger) orRest(duty string, interval func() time.Duration) func() time.Duration {
+	return func() time.Duration {
+		if l.config.Wake != nil && l.buffer.rest(duty) {
+			return restInterval
+		}
+		return interval()
 	}
 }
 
