Add drain and membership rows to the fault matrix

Instance a is stopped in the order of the binary under a burst of requests; instance d joins late; a dead instance loses its registration. Pairs of faults draw from the steps of whole instances for these rows.

--- a/internal/matrix/matrix.go
+++ b/internal/matrix/matrix.go
@@ -80,6 +80,8 @@
 	// Seed, if not zero, chooses a second fault. Only safety is checked then, because two faults may take both ways to make
 	// progress.
 	Seed uint64
+	// Operations are those at which a second fault may start; nil stands for the durable paths.
+	Operations []string
 	// Recovery is filled by rows that send requests throughout.
 	Recovery Recovery
 
--- a/internal/matrix/pairs_test.go
+++ b/internal/matrix/pairs_test.go
@@ -4,7 +4,9 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
+	"time"
 )
 
 var (
@@ -12,20 +14,28 @@
 	pairs    = flag.Uint64("pairs", 100, "number of pairs of faults")
 )
 
+var durableOperations = []string{"put:order", "get:order", "before-send", "send", "fence", "put:bill", "get:bill", "copy",
+	"put:lease", "get:lease", "command", "put:session", "get:session", "resolve"}
+
 // secondFault returns a fault at one of the first calls of any operation by any instance. The names of operations of other
 // paths never match. A send is never duplicated, for the reason that its cell in the matrix states.
-func secondFault(seed uint64) *injection {
+func secondFault(seed uint64, operations []string) *injection {
 	rnd := rand.New(rand.NewPCG(seed, 5))
-	operations := []string{"put:order", "get:order", "before-send", "send", "fence", "put:bill", "get:bill", "copy",
-		"put:lease", "get:lease", "command", "put:session", "get:session", "resolve"}
+	var from time.Duration
+	if operations != nil {
+		from = armed + time.Duration(rnd.IntN(25))*time.Second
+	} else {
+		operations = durableOperations
+	}
 	f := &injection{
 		instance: []string{"a", "b", "c"}[rnd.IntN(3)],
 		op:       operations[rnd.IntN(len(operations))],
 		nth:      1 + rnd.IntN(4),
 		fault:    Columns()[rnd.IntN(len(Columns()))],
 		late:     rnd.IntN(2) == 0,
+		from:     from,
 	}
-	if f.op == "send" && f.fault == Duplicate {
+	if strings.HasPrefix(f.op, "send") && f.fault == Duplicate {
 		f.fault = ReplyLost
 	}
 	return f
@@ -48,7 +58,7 @@
 		}
 		run := runCheck(t, row, &Run{Column: column, Seed: seed})
 		for _, problem := range run.failures {
-			second := secondFault(seed)
+			second := secondFault(seed, run.Operations)
 			t.Errorf("seed %d: %s, %s, with %s of %s at call %d of %s (late %v): %s",
 				seed, row.Name(), column, second.fault, second.instance, second.nth, second.op, second.late, problem)
 		}
--- a/internal/matrix/paths_test.go
+++ b/internal/matrix/paths_test.go
@@ -14,15 +14,22 @@
 	return Row{Path: path, Step: step, Check: func(r *Run) {
 		for _, late := range []bool{false, true} {
 			from := armed
-			if path == "configuration" {
+			switch path {
+			case "configuration":
 				from = changeAt - time.Second
+			case "drain":
+				from = drainAt + balancerWait
+				if op == "not-ready" {
+					from = drainAt
+				}
 			}
+			r.Operations = siteOperations
 			faults := []*injection{{instance: name, op: op, nth: nth, fault: r.Column, late: late, cell: true, from: from}}
 			for _, p := range prelude {
-				p.from = armed
+				p.from = max(p.from, armed)
 				faults = append(faults, &p)
 			}
-			s := newSite(newWorld(r, faults...))
+			s := newSite(newWorld(r, faults...), path == "membership")
 			if path != "configuration" {
 				s.operator = "b" // the change must be accepted while a is paused
 			}
@@ -35,6 +42,12 @@
 	}}
 }
 
+// siteOperations are the calls and steps of whole instances, for pairs of faults.
+var siteOperations = []string{"admit", "queue", "get:session", "put:session", "permit-first", "send-first", "chunk", "permit-resume",
+	"send-resume", "permit-second", "send-second", "put:bill", "copy", "end", "put:document", "put:config", "get:config", "range:config",
+	"get:document", "revision", "install", "digest", "accept", "put:instance", "get:instance", "range:instance", "list", "registrations",
+	"not-ready", "close-admission", "finish"}
+
 // localRow is a site row of a step that makes no call.
 func localRow(path, step, name, op string, prelude ...injection) Row {
 	return siteRow(path, step, name, op, 1, nil, prelude...).
@@ -49,10 +62,8 @@
 	return r.except(reasonPull, ReplyLost).except(reasonTwoPulls, Duplicate).except(reasonNoReading, StaleRead)
 }
 
-// noPeer cuts instance c from the peer of its nth pull; a round pulls from both.
-func noPeer(nth int) injection {
-	return injection{instance: "c", op: "digest", nth: nth, fault: PartitionBothWays}
-}
+// noPeer cuts instance c from the peer of its next pull; a round pulls from both others.
+var noPeer = injection{instance: "c", op: "digest", nth: 1, fault: PartitionBothWays}
 
 func init() {
 	// The first request after the start of the faults is not repeatable and has five chunks.
@@ -81,7 +92,7 @@
 		siteRow("configuration", "insert the revision", "a", "put:config", 1, nil),
 		siteRow("configuration", "read back", "a", "get:config", 1, nil, insertLost).read(),
 		siteRow("configuration", "poll", "c", "range:config", 2, nil).read(),
-		siteRow("configuration", "poll without peers", "c", "range:config", 2, nil, noPeer(1), noPeer(2)).read(),
+		siteRow("configuration", "poll without peers", "c", "range:config", 2, nil, noPeer, noPeer).read(),
 		siteRow("configuration", "fetch the document", "c", "get:document", 1, nil).read(),
 		siteRow("configuration", "fetch from a peer", "c", "revision", 1, nil, noDocument).peer(),
 		localRow("configuration", "install", "c", "install"),
--- a/internal/matrix/site_test.go
+++ b/internal/matrix/site_test.go
@@ -76,14 +76,20 @@
 	highest int64
 }
 
-func newSite(w *world) *site {
+// newSite starts instances a, b and c. A joining site has an instance d that starts later.
+func newSite(w *world, joining bool) *site {
 	s := &site{till: newTill(w), objects: memory.NewObjects(), versions: quality.NewTable(), operator: "a",
 		sends: map[string]int{}, refused: map[string]bool{}, ended: map[string]bool{}, pinned: map[string]map[string]bool{}}
 	s.versions.AddRatings(evidence())
 	for i, name := range []string{"a", "b", "c"} {
 		s.hubs = append(s.hubs, s.newHub(name, 9001+i))
 	}
-	for _, h := range s.hubs {
+	if joining {
+		d := s.newHub("d", 9004)
+		d.out = true
+		s.hubs = append(s.hubs, d)
+	}
+	for _, h := range s.hubs[:3] {
 		h.run()
 		advance(137 * time.Millisecond)
 	}
@@ -295,21 +301,48 @@
 	s.settle()
 	for _, h := range s.hubs {
 		h.queue.Close()
+		if h.pool == nil {
+			continue
+		}
 		_ = h.pool.Wait(context.Background())
 	}
 	s.checkAll()
 }
 
-// unregistered reports whether the peers' view ever lost a member that runs; it is checked at the end of the run.
+// join starts instance d; the balancer sends it requests once it may take work.
+func (s *site) join() func() {
+	d := s.hub("d")
+	return func() {
+		advance(time.Until(s.start.Add(armed + time.Second)))
+		d.run()
+		d.every(time.Second, func(context.Context) {
+			if _, refused := d.config.Current(time.Now()); refused == nil {
+				d.setOut(false)
+			}
+		})
+	}
+}
+
+func (h *hub) setOut(out bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.out = out
+}
+
+// goneAfter is the time after which a dead instance must have lost its registration: it counts as heard for 30 s, which
+// covers the lag of the list, then 30 s of absence, the spread of removals and two polls.
+const goneAfter = 30*time.Second + 30*time.Second + 10*time.Second + 5*time.Second
+
+// checkMembers checks that every running instance knows the running ones, and none that died long ago.
 func (s *site) checkMembers() {
 	running := 0
 	for _, h := range s.hubs {
-		if !h.isDead() && !h.out {
+		if !h.isDead() && !h.isOut() {
 			running++
 		}
 	}
 	for _, h := range s.hubs {
-		if h.isDead() || h.out {
+		if h.isDead() || h.isOut() {
 			continue
 		}
 		if _, registered := h.peers.Self(); !registered {
@@ -321,5 +354,10 @@
 		if live := h.peers.Count(); live < running {
 			s.run.Stuckf("%s knows %d registered instances, %d run", h.name, live, running)
 		}
+		for _, peer := range h.peers.Live() {
+			if dead := s.node(peer.Registration.Name); dead.isDead() && s.start.Add(s.lifetime).Sub(dead.dead) > goneAfter {
+				s.run.Stuckf("%s still counts %s, which died long ago", h.name, peer.Registration.Name)
+			}
+		}
 	}
 }
--- a/internal/matrix/sitelinks_test.go
+++ b/internal/matrix/sitelinks_test.go
@@ -276,7 +276,7 @@
 	})
 	if v != done {
 		if c.w.run.Broken("cut stream is reported as success") {
-			return stream.Chunk{CompletionID: c.attempt.CompletionID, Sequence: sequence, End: true}, nil
+			return c.finish(sequence), nil
 		}
 		return stream.Chunk{}, io.EOF
 	}
@@ -284,6 +284,16 @@
 	return chunk, nil
 }
 
+// finish ends the answer before its time, for the mutant.
+func (c *chunks) finish(sequence int64) stream.Chunk {
+	stop := chunkOf(c.attempt.CompletionID, c.attempt.Version, answerWords+1)
+	stop.Sequence = sequence
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.arrived = []stream.Chunk{{CompletionID: c.attempt.CompletionID, Sequence: sequence + 1, End: true}}
+	return stop
+}
+
 // chunkOf returns a chunk of an answer: words, then the finish reason with the usage, then the end. The small model is not
 // confident in chains.
 func chunkOf(id string, version declaration.VersionID, sequence int64) stream.Chunk {
--- a/internal/matrix/world_test.go
+++ b/internal/matrix/world_test.go
@@ -66,7 +66,7 @@
 
 func newWorld(run *Run, faults ...*injection) *world {
 	if run.Seed != 0 {
-		faults = append(faults, secondFault(run.Seed))
+		faults = append(faults, secondFault(run.Seed, run.Operations))
 	}
 	return &world{run: run, start: time.Now(), lifetime: 3 * time.Minute, table: memory.NewTable(), nodes: map[string]*instance{}, faults: faults}
 }
