--- a/internal/matrix/site_test.go
+++ b/internal/matrix/site_test.go
@@ -250,8 +250,9 @@
 // change applies a document through the instances in turn until it is accepted.
 func (s *site) change(base int64, id, document string, through ...string) {
 	for attempt := 0; time.Since(s.start) < s.lifetime-5*time.Second; attempt++ {
-		h := s.hub(through[min(attempt, len(through)-1)])
+		h := s.hub(through[attempt%len(through)])
 		if h.isDead() {
+			advance(time.Second)
 			continue
 		}
 		response := h.syncer.Apply(context.Background(), api.ApplyRequest{
