--- a/internal/matrix/drain_test.go
+++ b/internal/matrix/drain_test.go
@@ -21,7 +21,6 @@
 // stop runs a planned stop of instance a in the order of the binary, under a burst of requests that fills its workers.
 func (s *site) stop() func() {
 	h := s.hub("a")
-	s.lifetime = 120 * time.Second // a late end of the stop leaves its peers time to write the copies
 	return func() {
 		advance(time.Until(s.start.Add(drainAt)))
 		err := drain.Run(h.steps())
--- a/internal/matrix/members_test.go
+++ b/internal/matrix/members_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"time"
 
 	"github.com/cicadawall/cicadawall/internal/api"
 )
@@ -20,17 +19,13 @@
 	// dies is the end of instance a, whose registration the others end about a minute later.
 	dies := injection{instance: "a", op: "admit", nth: 1, fault: Kill}
 	noStore := injection{instance: "c", op: "range:instance", nth: 1, fault: PartitionBothWays}
-	long := func(s *site) func() {
-		s.lifetime = 160 * time.Second
-		return nil
-	}
 	register(
 		siteRow("membership", "register", "d", "put:instance", 1, (*site).join),
 		siteRow("membership", "read back", "d", "get:instance", 1, (*site).join,
 			injection{instance: "d", op: "put:instance", nth: 1, fault: ReplyLost}).read(),
 		siteRow("membership", "follow the log", "d", "range:instance", 2, (*site).join).read(),
 		siteRow("membership", "list poll", "c", "list", 1, nil).peer(),
-		siteRow("membership", "removal", "c", "put:instance", 1, long, dies),
+		siteRow("membership", "removal", "c", "put:instance", 1, nil, dies),
 		siteRow("membership", "digest pull", "c", "digest", 1, (*site).join).peer(),
 		siteRow("membership", "adopt registrations", "c", "registrations", 1, (*site).join, noStore).peer(),
 	)
--- a/internal/matrix/paths_test.go
+++ b/internal/matrix/paths_test.go
@@ -29,7 +29,7 @@
 				p.from = max(p.from, armed)
 				faults = append(faults, &p)
 			}
-			s := newSite(newWorld(r, faults...), path == "membership")
+			s := newSite(newWorld(r, faults...), path == "membership", lifetimes(path, step))
 			if path != "configuration" {
 				s.operator = "b" // the change must be accepted while a is paused
 			}
@@ -42,6 +42,18 @@
 	}}
 }
 
+// lifetimes returns the length of a run: peers need time to write the copies of a stopped instance, and to end the
+// registration of a dead one.
+func lifetimes(path, step string) time.Duration {
+	switch {
+	case path == "drain":
+		return 120 * time.Second
+	case step == "removal":
+		return 160 * time.Second
+	}
+	return 75 * time.Second
+}
+
 // siteOperations are the calls and steps of whole instances, for pairs of faults.
 var siteOperations = []string{"admit", "queue", "get:session", "put:session", "permit-first", "send-first", "chunk", "permit-resume",
 	"send-resume", "permit-second", "send-second", "put:bill", "copy", "end", "put:document", "put:config", "get:config", "range:config",
