--- a/internal/matrix/bills_test.go
+++ b/internal/matrix/bills_test.go
@@ -37,7 +37,7 @@
 }
 
 func newTill(w *world) *till {
-	w.lifetime = 75 * time.Second
+	w.lifetime = max(w.billing, 75*time.Second)
 	t := &till{world: w, copies: map[string]*billing.Copies{}, durable: map[string]bool{}, holders: map[string][]string{}}
 	for _, name := range []string{"a", "b", "c", "d"} {
 		w.node(name)
--- a/internal/matrix/site_test.go
+++ b/internal/matrix/site_test.go
@@ -78,10 +78,10 @@
 
 // newSite starts instances a, b and c. A joining site has an instance d that starts later.
 func newSite(w *world, joining bool, lifetime time.Duration) *site {
+	w.billing = lifetime
 	s := &site{till: newTill(w), objects: memory.NewObjects(), versions: quality.NewTable(), operator: "a",
 		sends: map[string]int{}, refused: map[string]bool{}, ended: map[string]bool{}, pinned: map[string]map[string]bool{}}
 	s.versions.AddRatings(evidence())
-	s.lifetime = lifetime
 	for i, name := range []string{"a", "b", "c"} {
 		s.hubs = append(s.hubs, s.newHub(name, 9001+i))
 	}
--- a/internal/matrix/world_test.go
+++ b/internal/matrix/world_test.go
@@ -53,7 +53,9 @@
 	start time.Time
 	// lifetime is the virtual time after which the loops of the instances end.
 	lifetime time.Duration
-	table    *memory.Table
+	// billing, if longer than the usual run of the bill rows, replaces it.
+	billing time.Duration
+	table   *memory.Table
 
 	mu        sync.Mutex
 	nodes     map[string]*instance
