--- a/internal/matrix/world_test.go
+++ b/internal/matrix/world_test.go
@@ -53,7 +53,9 @@
 	start time.Time
 	// lifetime is the virtual time after which the loops of the instances end.
 	lifetime time.Duration
-	table    *memory.Table
+	// billing, if longer than the usual run of the bill rows, replaces it.
+	billing time.Duration
+	table   *memory.Table
 
 	mu        sync.Mutex
 	nodes     map[string]*instance
@@ -66,7 +68,7 @@
 
 func newWorld(run *Run, faults ...*injection) *world {
 	if run.Seed != 0 {
-		faults = append(faults, secondFault(run.Seed))
+		faults = append(faults, secondFault(run.Seed, run.Operations))
 	}
 	return &world{run: run, start: time.Now(), lifetime: 3 * time.Minute, table: memory.NewTable(), nodes: map[string]*instance{}, faults: faults}
 }
