Ask the peer that was not asked for the longest time in each round

Of the two pulls one now goes to the peer that waited longest; the other stays random, so that news spreads.

--- a/internal/matrix/site_test.go
+++ b/internal/matrix/site_test.go
@@ -14,6 +14,7 @@
 	"github.com/cicadawall/cicadawall/internal/cascade"
 	"github.com/cicadawall/cicadawall/internal/configsync"
 	"github.com/cicadawall/cicadawall/internal/declaration"
+	"github.com/cicadawall/cicadawall/internal/demand"
 	"github.com/cicadawall/cicadawall/internal/dispatch"
 	"github.com/cicadawall/cicadawall/internal/membership"
 	"github.com/cicadawall/cicadawall/internal/platform/memory"
@@ -185,7 +186,7 @@
 		Config: h.config, Servers: servers, Prefixes: routing.NewPrefixIndex(100), Queue: h.queue,
 		Planner: dispatch.NewPlanner(h.site.versions), Sessions: pins, Ledger: hubLedger{h}, Limiter: hubLimiter{h}, Engine: hubEngine{h},
 		Retries: dispatch.NewRetries(), Sampler: hubSampler{h}, Metrics: telemetry.NewMetrics(), Classes: status.NewClasses(),
-		Traces: dispatch.NewTraces(), Log: log,
+		Demand: demand.NewTable(time.Now()), Traces: dispatch.NewTraces(), Log: log,
 		Random: func() *rand.Rand {
 			mu.Lock()
 			defer mu.Unlock()
--- a/internal/membership/pull.go
+++ b/internal/membership/pull.go
@@ -17,7 +17,7 @@
 	pullTimeout = time.Second
 )
 
-// Pull asks random peers for their digests and takes in what they know.
+// Pull asks two peers for their digests and takes in what they know.
 func (s *Service) Pull(ctx context.Context) error {
 	targets, err := s.targets(ctx)
 	if err != nil {
@@ -51,7 +51,7 @@
 			}
 		}
 	}
-	return s.random.pick(known, pullsPerRound), nil
+	return s.turns.next(s.random.pick(known, len(known))), nil
 }
 
 func (s *Service) pullOne(ctx context.Context, peer Address) {
--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -87,13 +87,14 @@
 type Service struct {
 	opts    Options
 	random  *random
+	turns   *turns
 	absence *absence
 	leaving atomic.Bool
 }
 
 // New returns a service; Register starts its membership.
 func New(opts Options) *Service {
-	return &Service{opts: opts, random: newRandom(opts.Random), absence: newAbsence()}
+	return &Service{opts: opts, random: newRandom(opts.Random), turns: newTurns(), absence: newAbsence()}
 }
 
 // Duties returns the periodic duties of the service.
