--- a/internal/app/peers.go
+++ b/internal/app/peers.go
@@ -146,7 +146,7 @@
 		Table:     i.versions,
 		Hold:      i.config.Hold,
 	})
-	i.sampler, err = quality.NewSampler(i.versions, i.services.Ratings, i.incarnation, i.reporter)
+	i.sampler, err = quality.NewSampler(i.versions, i.services.Ratings, i.incarnation, i.reporter, i.classes.Rated)
 	return err
 }
 
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -134,7 +134,7 @@
 // resolveSession returns the versions that the request may use, one for each model. A request without a session starts one
 // of its own, whose handle the caller may send back.
 func (j *modelJob) resolveSession(ctx context.Context, snapshot *declaration.Snapshot) ([]declaration.VersionID, *fault.Error) {
-	allowed := snapshot.AllowedVersions(j.request.Organisation, j.class.Name)
+	allowed := j.router.offered(snapshot, j.request.Organisation, j.class.Name)
 	proposed := j.router.Planner.Propose(snapshot, j.class.Name, allowed, j.random)
 	now := time.Now()
 	if j.request.Session == "" {
--- a/internal/dispatch/model_test.go
+++ b/internal/dispatch/model_test.go
@@ -243,3 +243,14 @@
 		}
 	})
 }
+
+// Guards against a new session that is pinned to a version held as bad while another one serves.
+func TestNewSessionAvoidsHeldVersion(t *testing.T) {
+	run(t, func(t *testing.T, b *bench) {
+		b.router.Config.Hold(smallV1, "ratings fell")
+		got := b.ask(t, nil)
+		if got.problem != nil || got.version != largeV1 {
+			t.Fatalf("ran on %s: %v", got.version, got.problem)
+		}
+	})
+}
--- a/internal/dispatch/router.go
+++ b/internal/dispatch/router.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cicadawall/cicadawall/internal/access"
@@ -126,6 +127,14 @@
 	return ids, nil
 }
 
+// offered returns the versions that a new session may be pinned to: those allowed and serving that are not held as bad.
+func (r *Router) offered(snapshot *declaration.Snapshot, organisation, class string) []declaration.VersionID {
+	return slices.DeleteFunc(snapshot.AllowedVersions(organisation, class), func(id declaration.VersionID) bool {
+		_, held := r.Config.Held(id)
+		return held
+	})
+}
+
 // Model checks and queues a model request.
 func (r *Router) Model(ctx context.Context, request ModelRequest) (*Reply, *fault.Error) {
 	job, item, problem := r.admitModel(ctx, request)
@@ -153,7 +162,7 @@
 	if !ok {
 		return nil, admission.Item{}, fault.NotRun(fault.StepAdmit, fault.CodeUnauthenticated, "the organisation is no longer declared")
 	}
-	if len(snapshot.AllowedVersions(organisation.Name, class.Name)) == 0 {
+	if len(r.offered(snapshot, organisation.Name, class.Name)) == 0 {
 		return nil, admission.Item{}, fault.NotRun(fault.StepAdmit, fault.CodeNotAllowed,
 			fmt.Sprintf("organisation %q may use no serving version for class %q", organisation.Name, class.Name))
 	}
--- a/internal/quality/sampler.go
+++ b/internal/quality/sampler.go
@@ -59,10 +59,12 @@
 	pending  *lru.Cache[string, Answer]
 	reports  *Reporter
 	cursor   string
+	// rated is told the score of each delivered answer.
+	rated func(class string, score float64)
 }
 
-// NewSampler returns a sampler of the instance. Scores go to the reporter.
-func NewSampler(table *Table, ratings platform.Ratings, instance string, reports *Reporter) (*Sampler, error) {
+// NewSampler returns a sampler of the instance. Scores go to the reporter; rated is told those of delivered answers.
+func NewSampler(table *Table, ratings platform.Ratings, instance string, reports *Reporter, rated func(class string, score float64)) (*Sampler, error) {
 	pending, err := lru.New[string, Answer](pendingRatings)
 	if err != nil {
 		return nil, errors.Wrap(err, "pending ratings")
@@ -74,6 +76,7 @@
 		queue:    make(chan Answer, submitBuffer),
 		pending:  pending,
 		reports:  reports,
+		rated:    rated,
 	}, nil
 }
 
@@ -132,6 +135,9 @@
 			continue
 		}
 		s.pending.Remove(rating.Id)
+		if answer.Delivered {
+			s.rated(answer.Class, rating.Score)
+		}
 		s.reports.add(answer.Class, api.EvidenceSample{
 			Model:      answer.Version.Model,
 			Version:    answer.Version.Version,
