--- a/internal/matrix/site_test.go
+++ b/internal/matrix/site_test.go
@@ -49,13 +49,12 @@
 
 	mu sync.Mutex
 	// accepted is the revision that the operator was told to be in force everywhere.
-	accepted   int64
-	acceptedBy []string
-	sends      map[string]int
-	refused    map[string]bool
-	ended      map[string]bool
-	pinned     map[string]map[string]bool
-	asked      []asked
+	accepted int64
+	sends    map[string]int
+	refused  map[string]bool
+	ended    map[string]bool
+	pinned   map[string]map[string]bool
+	asked    []asked
 }
 
 // hub is one instance of the site.
