--- a/internal/benchpolicy/world_test.go
+++ b/internal/benchpolicy/world_test.go
@@ -31,7 +31,11 @@
 	for _, p := range policies()[:3] {
 		r := smallRun(p, 2)
 		r.requests, r.turnAt, r.turnBy = 10_000, 4_000, 0.4
-		exposed[p.name] = newWorld(r).simulate().exposed
+		w := newWorld(r)
+		exposed[p.name] = w.simulate().exposed
+		if p.learns && !w.held[smallModel] {
+			t.Errorf("%s: the turned version is not in quarantine", p.name)
+		}
 	}
 	if exposed["always cheapest"] < 5_000 || exposed["always best"] != 0 || exposed["cicadawall"] > 500 {
 		t.Fatalf("exposed %v", exposed)
