--- a/internal/admission/flood_test.go
+++ b/internal/admission/flood_test.go
@@ -35,7 +35,7 @@
 				if small {
 					served <- time.Since(sent)
 				}
-				time.Sleep(floodService)
+				<-time.After(floodService)
 			}}
 			item.Refuse = func(f *fault.Error) {
 				if small {
@@ -52,7 +52,7 @@
 				submit("large")
 			}
 			submit("small")
-			time.Sleep(time.Second * 20 / capacityPerSecond)
+			<-time.After(time.Second * 20 / capacityPerSecond)
 		}
 		q.Close()
 		if err := pool.Wait(t.Context()); err != nil {
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -115,7 +115,7 @@
 			mustSubmit(t, q, r.item("a", "a", 1, 10))
 		}
 		for range 10 {
-			time.Sleep(100 * time.Millisecond)
+			<-time.After(100 * time.Millisecond)
 			drain(q, 1)
 		}
 		if got := q.Stats().TokensPerSecond; got < 95 || got > 105 {
@@ -148,13 +148,13 @@
 			item.Service = 500 * time.Millisecond
 			mustSubmit(t, q, item)
 		}
-		time.Sleep(1600 * time.Millisecond)
+		<-time.After(1600 * time.Millisecond)
 		synctest.Wait()
 		if got := fmt.Sprint(r.refused); got != "[2 1]" {
 			t.Errorf("refused %s after 1.6 s, want [2 1]", got)
 		}
 		drain(q, 1)
-		time.Sleep(2 * time.Second)
+		<-time.After(2 * time.Second)
 		if got := fmt.Sprint(r.served, r.refused, r.codes); got != "[0] [2 1] [deadline_exceeded deadline_exceeded]" {
 			t.Errorf("served, refused, codes: %s", got)
 		}
--- a/internal/api/operator.gen.go
+++ b/internal/api/operator.gen.go
@@ -175,7 +175,12 @@
 	MeanRating float64 `json:"meanRating,omitempty" yaml:"meanRating,omitempty"`
 	Model      string  `json:"model" yaml:"model"`
 	Ratings    int64   `json:"ratings" yaml:"ratings"`
-	Share      float64 `json:"share" yaml:"share"`
-	State      string  `json:"state" yaml:"state"`
-	Version    string  `json:"version" yaml:"version"`
+
+	// Reason Why the version is held or quarantined.
+	Reason string  `json:"reason,omitempty" yaml:"reason,omitempty"`
+	Share  float64 `json:"share" yaml:"share"`
+
+	// State Declared state, or held while the system stops new work before a revision says so.
+	State   string `json:"state" yaml:"state"`
+	Version string `json:"version" yaml:"version"`
 }
--- a/internal/api/settings.gen.go
+++ b/internal/api/settings.gen.go
@@ -67,7 +67,7 @@
 	SecretFile string `json:"secretFile,omitempty" yaml:"secretFile,omitempty"`
 }
 
-// Settings Static settings of one instance. Read once at start; certificates and keys are reloaded on change.
+// Settings Static settings of one instance. Read once at start; only certificates are reloaded on change.
 type Settings struct {
 	Instance InstanceSettings `json:"instance" yaml:"instance"`
 	Keys     KeySettings      `json:"keys,omitempty" yaml:"keys,omitempty"`
--- a/internal/app/servers.go
+++ b/internal/app/servers.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/tls"
+	"log/slog"
 	"net"
 	"net/http"
 	"time"
@@ -58,7 +59,7 @@
 	if config != nil {
 		socket = tls.NewListener(socket, config)
 	}
-	server := &http.Server{Handler: handler}
+	server := &http.Server{Handler: handler, ErrorLog: slog.NewLogLogger(i.log.Handler(), slog.LevelInfo)}
 	i.harden(server)
 	i.listeners = append(i.listeners, listener{name: name, socket: socket, server: server})
 	return nil
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -41,10 +41,11 @@
 			reached(class.CostPer1000, class.Target.CostPer1000, "%.4g"),
 			class.Answered, class.NotRun, class.Unknown, strings.Join(class.Chain, " then "))
 	}
-	fmt.Fprintln(table, "\nCLASS\tVERSION\tSTATE\tSHARE\tRATINGS\tMEAN RATING")
+	fmt.Fprintln(table, "\nCLASS\tVERSION\tSTATE\tSHARE\tRATINGS\tMEAN RATING\tREASON")
 	for _, class := range s.Classes {
 		for _, v := range class.Versions {
-			fmt.Fprintf(table, "%s\t%s@%s\t%s\t%.0f%%\t%d\t%s\n", class.Name, v.Model, v.Version, v.State, 100*v.Share, v.Ratings, reached(v.MeanRating, 0, "%.3f"))
+			fmt.Fprintf(table, "%s\t%s@%s\t%s\t%.0f%%\t%d\t%s\t%s\n", class.Name, v.Model, v.Version, v.State, 100*v.Share, v.Ratings,
+				reached(v.MeanRating, 0, "%.3f"), v.Reason)
 		}
 	}
 	fmt.Fprintln(table, "\nBACKEND SERVER\tAVAILABILITY ZONE\tSTATE\tIN FLIGHT\tREPORT AGE")
--- a/internal/dispatch/explain.go
+++ b/internal/dispatch/explain.go
@@ -129,7 +129,11 @@
 	case held:
 		return explained(fault.StepPermit, id.String(), verdictDropped, "held: "+reason)
 	}
-	return explained(fault.StepPermit, id.String(), verdictKept, "allowed and serving")
+	state := api.VersionServing
+	if version, ok := snapshot.Version(id); ok && version.State != "" {
+		state = version.State
+	}
+	return explained(fault.StepPermit, id.String(), verdictKept, "allowed, state "+string(state))
 }
 
 func explainPlan(plan Plan) api.ExplainStep {
--- a/internal/dispatch/router.go
+++ b/internal/dispatch/router.go
@@ -155,8 +155,7 @@
 	}
 	class, ok := snapshot.Class(request.Class)
 	if !ok {
-		return nil, admission.Item{}, fault.NotRun(fault.StepAdmit, fault.CodeUnknownClass,
-			fmt.Sprintf("class %q is not declared; name it in the model field as class:<name> or in the class header", request.Class))
+		return nil, admission.Item{}, unknownClass(request.Class)
 	}
 	organisation, ok := snapshot.Organisation(request.Organisation)
 	if !ok {
@@ -185,6 +184,15 @@
 	}, nil
 }
 
+func unknownClass(name string) *fault.Error {
+	message := "the request names no class"
+	if name != "" {
+		message = fmt.Sprintf("class %q is not declared", name)
+	}
+	return fault.NotRun(fault.StepAdmit, fault.CodeUnknownClass, message).
+		WithAdvice("name a declared class in the model field as class:<name> or in the X-Cicadawall-Class header")
+}
+
 // deadlineOf returns the time by which a request of the class must have ended.
 func deadlineOf(class *api.Class, arrived time.Time) time.Time {
 	if class.Target.DeadlineMillis > 0 {
--- a/internal/status/collect.go
+++ b/internal/status/collect.go
@@ -81,8 +81,14 @@
 		status.Share = s.Versions.Share(class, id)
 	}
 	if reason, held := s.Config.Held(id); held {
-		status.State = "held: " + reason
 		status.Share = 0
+		status.Reason = reason
+		if state != api.VersionQuarantined {
+			status.State = "held"
+		}
+	}
+	if declared.QuarantineReason != "" {
+		status.Reason = declared.QuarantineReason
 	}
 	status.Ratings, status.MeanRating = s.Versions.Rated(class, id)
 	return status
