--- a/internal/app/servers.go
+++ b/internal/app/servers.go
@@ -35,6 +35,7 @@
 	e := echo.New()
 	e.HideBanner = true
 	e.HidePort = true
+	e.HTTPErrorHandler = httperr.Handle
 	return e
 }
 
