--- a/Makefile
+++ b/Makefile
@@ -37,7 +37,7 @@
 	$(GO) test -count=1 $(if $(KNOWN_RED),-skip '$(KNOWN_RED)') ./internal/matrix
 
 matrix: ## Print the fault matrix; fails if a cell fails or has neither a check nor a reason.
-	$(GO) test -count=1 -v -run 'TestMatrix$$' ./internal/matrix
+	@bash -o pipefail -c "$(GO) test -count=1 -v -run 'TestMatrix$$' ./internal/matrix | grep -vE '=== (RUN|PAUSE|CONT|NAME)|--- PASS'"
 
 matrix-mutants: ## Break one mechanism at a time; fails if a cell of the matrix does not notice.
 	$(GO) test -count=1 -v -run 'TestMutants$$' ./internal/matrix
