Use one rendezvous hash for allocators, subsets and owners

Three packages hashed keys and members on their own with the same bytes; the weights and so the assignments are unchanged.

--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -9,9 +9,8 @@
 	"sort"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/cicadawall/cicadawall/internal/api"
+	"github.com/cicadawall/cicadawall/internal/rendezvous"
 )
 
 const (
@@ -70,18 +69,13 @@
 // member comes or goes, only the organisations that it owns move. Instances that choose differently, because they reach or
 // know other members, do no harm: each allocator keeps limit/n back for every instance that does not report to it.
 func Owner(organisation string, members []string, avoid func(member string) bool) string {
-	var owner string
-	var best uint64
+	reachable := make([]string, 0, len(members))
 	for _, member := range members {
-		if avoid(member) {
-			continue
-		}
-		score := xxhash.Sum64String(organisation + "\x00" + member)
-		if owner == "" || score > best || score == best && member < owner {
-			owner, best = member, score
+		if !avoid(member) {
+			reachable = append(reachable, member)
 		}
 	}
-	return owner
+	return rendezvous.Owner(organisation, reachable)
 }
 
 // Batch is the set of organisations with one allocator.
--- a/internal/routing/subset.go
+++ b/internal/routing/subset.go
@@ -5,6 +5,8 @@
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/cicadawall/cicadawall/internal/rendezvous"
 )
 
 // Member is an instance or a backend server with its availability zone.
@@ -88,7 +90,7 @@
 	weights := make([]uint64, len(servers))
 	for i := range servers {
 		if (servers[i].Zone == instance.Zone) == own {
-			weights[i] = rendezvous(instance.ID, servers[i].ID)
+			weights[i] = rendezvous.Weight(instance.ID, servers[i].ID)
 			c.ranked = append(c.ranked, i)
 		}
 	}
@@ -153,14 +155,6 @@
 	return out
 }
 
-func rendezvous(instance, server string) uint64 {
-	var buf [128]byte
-	key := append(buf[:0], instance...)
-	key = append(key, 0)
-	key = append(key, server...)
-	return xxhash.Sum64(key)
-}
-
 func zoneIndexes(servers []Member, zone string) []int {
 	var out []int
 	for i := range servers {
