--- a/Makefile
+++ b/Makefile
@@ -10,13 +10,14 @@
 build: ## Build the binary and the stand-ins into bin/.
 	$(GO) build -o bin/ ./cmd/...
 
-generate: ## Regenerate internal/api from the schema in api/.
+generate: ## Regenerate internal/api and platform/wire from their schemas.
 	api/gen.sh
 
-check-generate: ## Fail if the committed generated code differs from the schema.
+check-generate: ## Fail if the committed generated code differs from the schemas.
 	@tmp=$$(mktemp -d); trap 'rm -rf $$tmp' EXIT; \
 	api/gen.sh $$tmp; \
-	diff -r $$tmp internal/api || { echo "generated code differs from api/: run make generate"; exit 1; }
+	diff -r $$tmp/internal/api internal/api && diff -r $$tmp/platform/wire platform/wire || \
+		{ echo "generated code differs from the schemas: run make generate"; exit 1; }
 
 fmt-check: ## Fail if a file is not formatted.
 	@out=$$(gofmt -l $$(git ls-files '*.go')); test -z "$$out" || { echo "not formatted: $$out"; exit 1; }
--- a/api/gen.sh
+++ b/api/gen.sh
@@ -1,19 +1,27 @@
 #!/usr/bin/env bash
-# Regenerates the Go types from the OpenAPI files in this directory, into internal/api or the directory given.
+# Regenerates the Go types from the OpenAPI files: those of this directory into internal/api, the platform's into
+# platform/wire. With a directory as argument, writes both trees below it instead.
 set -euo pipefail
 root=$(cd "$(dirname "$0")/.." && pwd)
-out=${1:-$root/internal/api}
-cd "$root/api"
-for spec in *.yaml; do
-  name=${spec%.yaml}
+out=${1:-$root}
+
+generate() { # generate SPEC PACKAGE OUTPUT
+  local config
   config=$(mktemp)
-  cat >"$config" <<EOF
-package: api
-output: $out/$name.gen.go
+  cat >"$config" <<CONFIG
+package: $2
+output: $3
 generate: {models: true}
 output-options: {skip-prune: true, yaml-tags: true, prefer-skip-optional-pointer: true, prefer-skip-optional-pointer-with-omitzero: false}
 import-mapping: {common.yaml: "-", declaration.yaml: "-", engine.yaml: "-"}
-EOF
-  go tool -modfile=../tools/go.mod oapi-codegen -config "$config" "$spec"
+CONFIG
+  go tool -modfile=../tools/go.mod oapi-codegen -config "$config" "$1"
   rm -f "$config"
+}
+
+mkdir -p "$out/internal/api" "$out/platform/wire"
+cd "$root/api"
+for spec in *.yaml; do
+  generate "$spec" api "$out/internal/api/${spec%.yaml}.gen.go"
 done
+generate ../platform/wire.yaml wire "$out/platform/wire/wire.gen.go"
