--- a/internal/api/peer.gen.go
+++ b/internal/api/peer.gen.go
@@ -185,6 +185,76 @@
 	Version string  `json:"version" yaml:"version"`
 }
 
+// GatewayCount defines model for GatewayCount.
+type GatewayCount struct {
+	Answers int    `json:"answers" yaml:"answers"`
+	Bad     int    `json:"bad,omitempty" yaml:"bad,omitempty"`
+	Route   string `json:"route" yaml:"route"`
+	Service string `json:"service" yaml:"service"`
+	Slow    int    `json:"slow,omitempty" yaml:"slow,omitempty"`
+	Version string `json:"version" yaml:"version"`
+}
+
+// GatewayInstance Value of the row by which an instance is found.
+type GatewayInstance struct {
+	Incarnation string `json:"incarnation" yaml:"incarnation"`
+	PeerAddress string `json:"peerAddress" yaml:"peerAddress"`
+}
+
+// GatewayMigration defines model for GatewayMigration.
+type GatewayMigration struct {
+	// AgeMillis Time since the order was given.
+	AgeMillis      int64  `json:"ageMillis" yaml:"ageMillis"`
+	DurationMillis int64  `json:"durationMillis" yaml:"durationMillis"`
+	Revision       int64  `json:"revision" yaml:"revision"`
+	Service        string `json:"service" yaml:"service"`
+	State          string `json:"state,omitempty" yaml:"state,omitempty"`
+	StateRevision  int64  `json:"stateRevision,omitempty" yaml:"stateRevision,omitempty"`
+	StateTarget    string `json:"stateTarget,omitempty" yaml:"stateTarget,omitempty"`
+
+	// Suspect The sender found the target bad.
+	Suspect bool   `json:"suspect,omitempty" yaml:"suspect,omitempty"`
+	Target  string `json:"target" yaml:"target"`
+}
+
+// GatewayMigrationStart Value of the row that records when an order was first seen.
+type GatewayMigrationStart struct {
+	// ClockMillis Steady clock of the store.
+	ClockMillis int64 `json:"clockMillis" yaml:"clockMillis"`
+
+	// Revision Revision of the order.
+	Revision int64 `json:"revision" yaml:"revision"`
+}
+
+// GatewayServer defines model for GatewayServer.
+type GatewayServer struct {
+	Address          string `json:"address" yaml:"address"`
+	AvailabilityZone string `json:"availabilityZone" yaml:"availabilityZone"`
+	Id               string `json:"id" yaml:"id"`
+	Leaving          bool   `json:"leaving,omitempty" yaml:"leaving,omitempty"`
+	Service          string `json:"service" yaml:"service"`
+	Slots            int    `json:"slots" yaml:"slots"`
+	Software         string `json:"software" yaml:"software"`
+	StartedUnixMilli int64  `json:"startedUnixMilli,omitempty" yaml:"startedUnixMilli,omitempty"`
+}
+
+// GatewayState What an instance that forwards under routes knows of the store, and what it counted itself.
+type GatewayState struct {
+	// Configuration Encoded declaration, if it is newer than the version in query parameter have.
+	Configuration        []byte             `json:"configuration,omitempty" yaml:"configuration,omitempty"`
+	ConfigurationVersion int64              `json:"configurationVersion" yaml:"configurationVersion"`
+	Counts               []GatewayCount     `json:"counts" yaml:"counts"`
+	Incarnation          string             `json:"incarnation" yaml:"incarnation"`
+	Instances            []GatewayInstance  `json:"instances" yaml:"instances"`
+	Migrations           []GatewayMigration `json:"migrations" yaml:"migrations"`
+
+	// Servers Backend servers, if query parameter servers is set.
+	Servers []GatewayServer `json:"servers,omitempty" yaml:"servers,omitempty"`
+
+	// ServersKnown Whether servers is a complete list.
+	ServersKnown bool `json:"serversKnown,omitempty" yaml:"serversKnown,omitempty"`
+}
+
 // HeldVersion defines model for HeldVersion.
 type HeldVersion struct {
 	Model   string `json:"model" yaml:"model"`
--- /dev/null
+++ b/internal/backend/health.go
@@ -0,0 +1,48 @@
+package backend
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// failureWeight is the weight of a new attempt in the failure rate.
+	failureWeight = 0.25
+	// failureHalfLife fades the failure rate, so that a server that was avoided is tried again.
+	failureHalfLife = 4 * time.Second
+	// answerWeight is the weight of a new answer in the moving average of the answer time.
+	answerWeight = 0.2
+)
+
+// health is how a server answered this instance lately.
+type health struct {
+	failures float64
+	at       time.Time
+	answer   time.Duration
+}
+
+// rate returns the failure rate, faded since the last attempt.
+func (h *health) rate(now time.Time) float64 {
+	if h.failures == 0 {
+		return 0
+	}
+	return h.failures * math.Exp2(-float64(now.Sub(h.at))/float64(failureHalfLife))
+}
+
+// observe records the end of an attempt.
+func (h *health) observe(failed bool, now time.Time) {
+	rate := h.rate(now) * (1 - failureWeight)
+	if failed {
+		rate += failureWeight
+	}
+	h.failures, h.at = rate, now
+}
+
+// answered records the time of an answer.
+func (h *health) answered(took time.Duration) {
+	if h.answer == 0 {
+		h.answer = took
+		return
+	}
+	h.answer += time.Duration(answerWeight * float64(took-h.answer))
+}
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -17,11 +17,12 @@
 
 // arguments is the command line.
 type arguments struct {
-	Serve   *ServeCommand   `arg:"subcommand:serve" help:"run an entry instance"`
-	Config  *ConfigCommand  `arg:"subcommand:config" help:"validate, compare, apply and show the shared declaration"`
-	Status  *StatusCommand  `arg:"subcommand:status" help:"show targets and what is reached at an instance"`
-	Explain *ExplainCommand `arg:"subcommand:explain" help:"show why a request ran, or would run, where it does"`
-	Version *VersionCommand `arg:"subcommand:version" help:"print the release"`
+	Serve    *ServeCommand    `arg:"subcommand:serve" help:"run an entry instance"`
+	Platform *PlatformCommand `arg:"subcommand:platform" help:"run an instance on the users' platform"`
+	Config   *ConfigCommand   `arg:"subcommand:config" help:"validate, compare, apply and show the shared declaration"`
+	Status   *StatusCommand   `arg:"subcommand:status" help:"show targets and what is reached at an instance"`
+	Explain  *ExplainCommand  `arg:"subcommand:explain" help:"show why a request ran, or would run, where it does"`
+	Version  *VersionCommand  `arg:"subcommand:version" help:"print the release"`
 }
 
 // Description implements the first line of the help text.
@@ -62,6 +63,8 @@
 	switch {
 	case a.Serve != nil:
 		return a.Serve.run(stdout, stderr)
+	case a.Platform != nil:
+		return a.Platform.run(stdout, stderr)
 	case a.Config != nil:
 		return a.Config.Run(context.Background(), stdout, stderr)
 	case a.Status != nil:
--- /dev/null
+++ b/internal/exchange/exchange.go
@@ -0,0 +1,253 @@
+// Package exchange lets instances that forward under routes learn from each other: the configuration, the servers and the
+// state of migrations while the store refuses them, and the counts of good and bad answers while a migration runs. Nothing is
+// asked while neither is the case.
+package exchange
+
+import (
+	"cmp"
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cicadawall/cicadawall/internal/api"
+	"github.com/cicadawall/cicadawall/internal/backend"
+	"github.com/cicadawall/cicadawall/internal/gateway"
+	"github.com/cicadawall/cicadawall/internal/lockorder"
+	"github.com/cicadawall/cicadawall/internal/migration"
+)
+
+const (
+	// Interval is the pause between two rounds; evidence must reach the others well within the 5 s that a roll-back may take.
+	Interval = 600 * time.Millisecond
+	// RoundTimeout bounds one round.
+	RoundTimeout = 1500 * time.Millisecond
+	// pullTimeout bounds one pull; a peer in the next availability zone answers within 10 ms.
+	pullTimeout = 700 * time.Millisecond
+	// peersPerRound bounds the pulls of a round, so that the cost of an instance does not grow with the fleet.
+	peersPerRound = 6
+)
+
+// Fetch pulls the state of a peer. Have is the configuration version that the caller holds; servers asks for the list.
+type Fetch func(ctx context.Context, address string, have int64, servers bool) (api.GatewayState, error)
+
+// Options of an Exchange. All fields are required.
+type Options struct {
+	Incarnation    string
+	Address        string
+	Seeds          []string
+	Configurations *gateway.Configurations
+	Directory      *backend.Directory
+	Migrations     *migration.Table
+	// Adopt puts a pulled configuration in force.
+	Adopt func(document []byte, source string)
+	Fetch Fetch
+	// Away reports whether the store does not answer this instance.
+	Away func(now time.Time) bool
+	Log  *slog.Logger
+}
+
+// Exchange knows the peers. It is safe for concurrent use.
+type Exchange struct {
+	Options
+
+	mu    *lockorder.Mutex
+	peers map[string]string
+	lost  map[string]bool
+}
+
+// New returns an exchange that knows the seeds only.
+func New(options Options) *Exchange {
+	return &Exchange{Options: options, mu: lockorder.New(lockorder.RankPeers), peers: map[string]string{}, lost: map[string]bool{}}
+}
+
+// Instances returns the number of instances, this one included.
+func (e *Exchange) Instances() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return 1 + len(e.peers)
+}
+
+// Put records a peer and reports whether it is new.
+func (e *Exchange) Put(instance api.GatewayInstance) bool {
+	if instance.PeerAddress == e.Address {
+		return false
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	known := e.peers[instance.PeerAddress] == instance.Incarnation
+	e.peers[instance.PeerAddress] = instance.Incarnation
+	return !known
+}
+
+// Remove forgets a peer that left.
+func (e *Exchange) Remove(address string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.peers, address)
+}
+
+// targets returns the peers of one round in random order.
+func (e *Exchange) targets() []string {
+	e.mu.Lock()
+	addresses := make([]string, 0, len(e.peers)+len(e.Seeds))
+	for address := range e.peers {
+		addresses = append(addresses, address)
+	}
+	e.mu.Unlock()
+	for _, seed := range e.Seeds {
+		if !slices.Contains(addresses, seed) {
+			addresses = append(addresses, seed)
+		}
+	}
+	rand.Shuffle(len(addresses), func(a, b int) { addresses[a], addresses[b] = addresses[b], addresses[a] })
+	return addresses[:min(len(addresses), peersPerRound)]
+}
+
+// Round pulls from peers if there is a reason to. It is the run of a periodic duty.
+func (e *Exchange) Round(ctx context.Context) error {
+	away := e.Away(time.Now())
+	if !away && !e.Migrations.Active() {
+		return nil
+	}
+	targets := e.targets()
+	done := make(chan struct{}, len(targets))
+	for _, address := range targets {
+		go func() {
+			e.pull(ctx, address, away)
+			done <- struct{}{}
+		}()
+	}
+	for range targets {
+		<-done
+	}
+	return nil
+}
+
+func (e *Exchange) pull(ctx context.Context, address string, away bool) {
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	state, err := e.Fetch(ctx, address, e.Configurations.Version(), away)
+	e.reached(address, err)
+	if err != nil {
+		return
+	}
+	e.merge(address, state, away, time.Now())
+}
+
+// reached logs a peer once when it stops and once when it starts answering.
+func (e *Exchange) reached(address string, err error) {
+	e.mu.Lock()
+	before := e.lost[address]
+	e.lost[address] = err != nil
+	e.mu.Unlock()
+	switch {
+	case err != nil && !before:
+		e.Log.Warn("peer lost", "peer", address, "error", err.Error())
+	case err == nil && before:
+		e.Log.Info("peer regained", "peer", address)
+	}
+}
+
+// merge takes what the peer knows. Servers are taken only while the store is away, and only added: a peer's list may be
+// older than this instance's.
+func (e *Exchange) merge(address string, state api.GatewayState, away bool, now time.Time) {
+	for _, instance := range state.Instances {
+		e.Put(instance)
+	}
+	if len(state.Configuration) > 0 && state.ConfigurationVersion > e.Configurations.Version() {
+		e.Adopt(state.Configuration, address)
+	}
+	for _, m := range state.Migrations {
+		e.mergeMigration(m, now)
+	}
+	counts := make(map[migration.Key]migration.Count, len(state.Counts))
+	for _, c := range state.Counts {
+		key := migration.Key{Service: c.Service, Version: c.Version, Route: c.Route}
+		counts[key] = migration.Count{Answers: c.Answers, Bad: c.Bad, Slow: c.Slow}
+	}
+	e.Migrations.Peer(state.Incarnation, counts)
+	if away && state.ServersKnown {
+		e.mergeServers(state.Servers, now)
+	}
+}
+
+func (e *Exchange) mergeMigration(m api.GatewayMigration, now time.Time) {
+	order := migration.Order{
+		Service: m.Service, Target: m.Target, Revision: m.Revision, Duration: time.Duration(m.DurationMillis) * time.Millisecond,
+	}
+	if order.Target != "" {
+		e.Migrations.Order(order, time.Duration(m.AgeMillis)*time.Millisecond, now)
+	}
+	if m.StateRevision > 0 {
+		e.Migrations.Recorded(migration.Status{
+			Service: m.Service, Target: m.StateTarget, State: migration.State(m.State), Revision: m.StateRevision,
+		})
+	}
+	if m.Suspect {
+		e.Migrations.Suspect(order)
+	}
+}
+
+func (e *Exchange) mergeServers(servers []api.GatewayServer, now time.Time) {
+	entries := make([]backend.Entry, 0, len(servers))
+	for _, s := range servers {
+		entries = append(entries, backend.Entry{
+			ID: s.Id, Service: s.Service, Address: s.Address, AvailabilityZone: s.AvailabilityZone, Software: s.Software,
+			Slots: s.Slots, Leaving: s.Leaving, StartedMilli: s.StartedUnixMilli,
+		})
+	}
+	e.Directory.Merge(entries, now)
+}
+
+// State returns what a peer may pull.
+func (e *Exchange) State(have int64, servers bool) api.GatewayState {
+	now := time.Now()
+	state := api.GatewayState{Incarnation: e.Incarnation, Instances: e.instances()}
+	if c := e.Configurations.Current(); c != nil {
+		state.ConfigurationVersion = c.Version
+		if c.Version > have {
+			state.Configuration = c.Document
+		}
+	}
+	for _, view := range e.Migrations.Views(now) {
+		state.Migrations = append(state.Migrations, api.GatewayMigration{
+			Service: cmp.Or(view.Order.Service, view.Status.Service), Target: view.Order.Target, DurationMillis: view.Order.Duration.Milliseconds(),
+			Revision: view.Order.Revision, AgeMillis: view.Age.Milliseconds(), Suspect: view.Suspect,
+			State: string(view.Status.State), StateTarget: view.Status.Target, StateRevision: view.Status.Revision,
+		})
+	}
+	for key, count := range e.Migrations.Own() {
+		state.Counts = append(state.Counts, api.GatewayCount{
+			Service: key.Service, Version: key.Version, Route: key.Route, Answers: count.Answers, Bad: count.Bad, Slow: count.Slow,
+		})
+	}
+	if servers && !e.Away(now) {
+		state.ServersKnown = e.Directory.Known()
+		state.Servers = e.servers()
+	}
+	return state
+}
+
+func (e *Exchange) instances() []api.GatewayInstance {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	instances := []api.GatewayInstance{{PeerAddress: e.Address, Incarnation: e.Incarnation}}
+	for address, incarnation := range e.peers {
+		instances = append(instances, api.GatewayInstance{PeerAddress: address, Incarnation: incarnation})
+	}
+	return instances
+}
+
+func (e *Exchange) servers() []api.GatewayServer {
+	entries := e.Directory.Entries()
+	servers := make([]api.GatewayServer, 0, len(entries))
+	for _, entry := range entries {
+		servers = append(servers, api.GatewayServer{
+			Id: entry.ID, Service: entry.Service, Address: entry.Address, AvailabilityZone: entry.AvailabilityZone,
+			Software: entry.Software, Slots: entry.Slots, Leaving: entry.Leaving, StartedUnixMilli: entry.StartedMilli,
+		})
+	}
+	return servers
+}
--- /dev/null
+++ b/internal/gateway/run.go
@@ -0,0 +1,331 @@
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/cicadawall/cicadawall/internal/admission"
+	"github.com/cicadawall/cicadawall/internal/backend"
+	"github.com/cicadawall/cicadawall/internal/fault"
+	"github.com/cicadawall/cicadawall/internal/routing"
+)
+
+const (
+	// maxSends bounds the servers to which one request is sent, refusals included; each refusal costs a round trip.
+	maxSends = 4
+	// shortestAttempt is the time that must be left for another attempt; with less, no server can answer.
+	shortestAttempt = 30 * time.Millisecond
+	// maxWholeBytes bounds an answer that is read as a whole before it is delivered; longer ones are cut.
+	maxWholeBytes = 8 << 20
+	// highestPriority is the most urgent priority of the admission queue.
+	highestPriority = 9
+	// attemptPatience is the part of a route's target after which an attempt without an answer is given up for another
+	// server, if the request may be repeated.
+	attemptPatience = 0.6
+	// gapPatience is the part of a route's longest pause after which a stream without events goes on at another server.
+	gapPatience = 0.8
+)
+
+// run is one request on its way. A worker executes it; no other goroutine touches it until done is closed.
+type run struct {
+	gateway       *Gateway
+	request       *Request
+	caller        Caller
+	configuration *Configuration
+	route         *Route
+	service       *Service
+	organisation  string
+	priority      int
+	limit         time.Time
+	ctx           context.Context
+	done          chan struct{}
+	rng           *rand.Rand
+
+	// sends counts the attempts, runs those that may have run.
+	sends int
+	runs  int
+	tried []string
+	// uncertain is set once a server may have run the request without saying so.
+	uncertain bool
+	// failure is the last failure that a server stated, with its body.
+	failure     *Reply
+	failureBody []byte
+	// fresh asks for a new connection after a kept one turned out to be dead.
+	fresh bool
+	// paid is set if the budget for the next attempt was already spent.
+	paid bool
+
+	model string
+	// began is set once the head of an answer went to the caller.
+	began bool
+	// last is the last event that the caller has.
+	last string
+}
+
+// item describes the run to the admission queue.
+func (r *run) item() admission.Item {
+	return admission.Item{
+		Organisation: r.organisation,
+		Class:        r.route.Name,
+		Priority:     max(0, highestPriority-r.priority),
+		Tokens:       backend.Tokens(r.request.Prompt) + r.request.OutputTokens,
+		Deadline:     r.limit,
+		Job:          r,
+		Refuse: func(refusal *fault.Error) {
+			r.refuse(refusal)
+			close(r.done)
+		},
+	}
+}
+
+// Run implements worker.Job.
+func (r *run) Run(ctx context.Context) {
+	defer close(r.done)
+	var cancel context.CancelFunc
+	if r.limit.IsZero() {
+		r.ctx, cancel = context.WithCancel(r.ctx)
+	} else {
+		r.ctx, cancel = context.WithDeadline(r.ctx, r.limit)
+	}
+	defer cancel()
+	defer context.AfterFunc(ctx, cancel)()
+	r.gateway.Budget.Request(r.service.Name, r.request.Arrived)
+	r.chooseModel()
+	for r.attempt() {
+	}
+}
+
+// attempt makes one attempt and reports whether another one should follow.
+func (r *run) attempt() bool {
+	server, ok := r.begin()
+	if !ok {
+		return false
+	}
+	ctx, cancel := context.WithCancelCause(r.ctx)
+	defer cancel(nil)
+	stopPatience := r.limitAttempt(cancel)
+	reply, err := r.gateway.Backends.Send(ctx, r.encode(server))
+	if err != nil {
+		stopPatience()
+		return r.sendFailed(server, err)
+	}
+	defer reply.Body.Close()
+	switch reply.Verdict {
+	case VerdictNotRun, VerdictMoved:
+		stopPatience()
+		return r.refused(server, reply)
+	case VerdictFailure:
+		defer stopPatience()
+		return r.failed(server, reply)
+	case VerdictSuccess:
+	}
+	if reply.Events {
+		stopPatience()
+		return r.relay(server, reply, cancel)
+	}
+	defer stopPatience()
+	return r.deliver(server, reply)
+}
+
+// begin chooses a server and counts the attempt; it ends the request if there is none.
+func (r *run) begin() (*backend.Run, bool) {
+	now := time.Now()
+	if r.sends > 0 && !r.mayRepeat(now) {
+		r.finish()
+		return nil, false
+	}
+	query := backend.Query{Service: r.service.Name, Model: r.model, Prompt: r.request.Prompt, MaxInFlight: r.maxInFlight()}
+	candidates := r.gateway.Directory.Candidates(query, now)
+	use, avoid := r.gateway.Versions.Choose(r.service.Name, r.request.session(), now)
+	choice := r.choose(candidates, use, avoid, now)
+	if !choice.Found {
+		r.finish()
+		return nil, false
+	}
+	server, ok := r.gateway.Directory.Begin(choice.Server, query, now)
+	if !ok {
+		r.finish()
+		return nil, false
+	}
+	r.sends++
+	r.tried = append(r.tried, choice.Server)
+	r.log("attempt", "server", choice.Server, "version", server.Entry.Software, "model", r.model, "number", r.sends,
+		"candidates", len(candidates), "eligible", choice.Eligible, "score_ms", choice.Score.Milliseconds(), "after", r.last)
+	return server, true
+}
+
+// choose applies the routing policy, first to the version that the session should use.
+func (r *run) choose(candidates []routing.Candidate, use, avoid string, now time.Time) routing.Choice {
+	policy := routing.PlainPolicy()
+	if r.route.Prompt {
+		policy = routing.PromptPolicy()
+	}
+	want := routing.Request{
+		Zone: r.gateway.AvailabilityZone, Exclude: r.tried, Software: use, AvoidSoftware: avoid,
+		PromptTokens: backend.Tokens(r.request.Prompt),
+	}
+	choice, _ := policy.Choose(candidates, want, now, r.rng)
+	if !choice.Found && use != "" {
+		want.Software = ""
+		choice, _ = policy.Choose(candidates, want, now, r.rng)
+	}
+	if !choice.Found && len(r.tried) > 0 {
+		want.Exclude = nil
+		choice, _ = policy.Choose(candidates, want, now, r.rng)
+	}
+	return choice
+}
+
+// maxInFlight is this instance's part of a server's connections, with room for an uneven load.
+func (r *run) maxInFlight() int {
+	if r.service.MaxConnections == 0 {
+		return 0
+	}
+	return max(2, 2*r.service.MaxConnections/max(2, r.gateway.Instances()))
+}
+
+// mayRepeat reports whether time, attempts and the budget allow another attempt.
+func (r *run) mayRepeat(now time.Time) bool {
+	if r.ctx.Err() != nil || r.sends >= maxSends {
+		return false
+	}
+	if r.runs >= max(1, r.route.MaxAttempts) {
+		return false
+	}
+	if !r.limit.IsZero() && r.limit.Sub(now) < shortestAttempt {
+		return false
+	}
+	if r.paid {
+		r.paid = false
+		return true
+	}
+	return r.gateway.Budget.Spend(r.service.Name, 1, now)
+}
+
+func (r *run) encode(server *backend.Run) Attempt {
+	remaining := time.Duration(0)
+	if !r.limit.IsZero() {
+		remaining = max(time.Millisecond, time.Until(r.limit))
+	}
+	return Attempt{
+		Request:      r.request,
+		Server:       server.Entry,
+		Organisation: r.organisation,
+		Model:        r.model,
+		Remaining:    remaining,
+		Urgency:      min(highestPriority, r.priority),
+		After:        r.last,
+		Fresh:        r.fresh,
+	}
+}
+
+// errAttemptPatience ends an attempt that another server may answer sooner.
+var errAttemptPatience = errors.New("no answer within the patience of an attempt")
+
+// limitAttempt ends the attempt early if the request may run again elsewhere. It returns a function that lifts the limit.
+func (r *run) limitAttempt(cancel context.CancelCauseFunc) func() {
+	if !r.route.Repeatable() || r.route.Target == 0 || r.runs+1 >= r.route.MaxAttempts {
+		return func() {}
+	}
+	patience := time.Duration(attemptPatience * float64(r.route.Target))
+	timer := time.AfterFunc(patience, func() { cancel(errAttemptPatience) })
+	return func() { timer.Stop() }
+}
+
+// sendFailed handles an attempt without an answer.
+func (r *run) sendFailed(server *backend.Run, err error) bool {
+	sent, stale := true, false
+	var failed *SendError
+	if errors.As(err, &failed) {
+		sent, stale = failed.Sent, failed.Stale
+	}
+	left := r.ctx.Err() != nil
+	result := backend.ResultBad
+	if left {
+		result = backend.ResultNeutral
+	}
+	server.End(result, time.Now())
+	r.log("attempt failed", "server", server.Entry.ID, "sent", sent, "kept_connection", stale, "error", err.Error())
+	if sent {
+		r.runs++
+		r.uncertain = true
+		r.observe(server, !left && !stale)
+	}
+	r.fresh = stale
+	return r.again(!sent)
+}
+
+// refused handles an answer that says the request was not run.
+func (r *run) refused(server *backend.Run, reply *Reply) bool {
+	result := backend.ResultBad
+	if reply.Verdict == VerdictMoved {
+		result = backend.ResultMoved
+	}
+	server.End(result, time.Now())
+	r.log("attempt refused", "server", server.Entry.ID, "moved", reply.Verdict == VerdictMoved)
+	return r.again(true)
+}
+
+// failed handles a failure of a server that ran the request.
+func (r *run) failed(server *backend.Run, reply *Reply) bool {
+	r.runs++
+	body, err := reply.Body.All(maxWholeBytes)
+	server.End(backend.ResultBad, time.Now())
+	r.observe(server, true)
+	r.log("server failed", "server", server.Entry.ID, "whole", err == nil)
+	if err != nil {
+		r.uncertain = true
+		return r.again(false)
+	}
+	r.failure, r.failureBody = reply, body
+	return r.again(false)
+}
+
+// deliver passes a whole answer on.
+func (r *run) deliver(server *backend.Run, reply *Reply) bool {
+	r.runs++
+	body, err := reply.Body.All(maxWholeBytes)
+	if err != nil {
+		server.End(backend.ResultBad, time.Now())
+		r.observe(server, r.ctx.Err() == nil)
+		r.uncertain = true
+		r.log("answer cut", "server", server.Entry.ID, "error", err.Error())
+		return r.again(false)
+	}
+	server.End(backend.ResultGood, time.Now())
+	r.observe(server, false)
+	r.answered(r.caller.Answer(reply, body))
+	return false
+}
+
+// again reports whether another attempt may follow, and ends the request if not.
+func (r *run) again(notRun bool) bool {
+	if notRun && !r.uncertain || r.route.Repeatable() {
+		return true
+	}
+	r.finish()
+	return false
+}
+
+func (r *run) observe(server *backend.Run, bad bool) {
+	r.gateway.Versions.Observe(r.service.Name, server.Entry.Software, r.route.Name, bad, time.Since(r.request.Arrived))
+}
+
+// log writes one decision on the request.
+func (r *run) log(message string, attributes ...any) {
+	r.gateway.Log.LogAttrs(context.Background(), slog.LevelInfo, message, r.attributes(attributes)...)
+}
+
+func (r *run) attributes(extra []any) []slog.Attr {
+	attributes := make([]slog.Attr, 0, 5+len(extra)/2)
+	attributes = append(attributes, slog.String("request_id", r.request.ID), slog.String("class", r.route.Name),
+		slog.Int64("age_ms", time.Since(r.request.Arrived).Milliseconds()))
+	for i := 0; i+1 < len(extra); i += 2 {
+		attributes = append(attributes, slog.Any(extra[i].(string), extra[i+1]))
+	}
+	return attributes
+}
--- /dev/null
+++ b/internal/migration/decide.go
@@ -0,0 +1,122 @@
+package migration
+
+import "time"
+
+// Decision is a state that should be recorded for a service.
+type Decision struct {
+	Status Status
+	// Previous is the revision of the record that it replaces, 0 if there is none.
+	Previous int64
+	// Fresh and Old are the counts on which the decision rests.
+	Fresh Count
+	Old   Count
+	Part  float64
+}
+
+// Decide returns the states that should be recorded now. A version found bad is avoided at once, before it is recorded.
+func (t *Table) Decide(now time.Time) []Decision {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var decisions []Decision
+	for service, r := range t.rows {
+		if r.order.Target == "" || r.settled() {
+			continue
+		}
+		if decision, ok := t.decide(service, r, now); ok {
+			decisions = append(decisions, decision)
+		}
+	}
+	return decisions
+}
+
+func (t *Table) decide(service string, r *row, now time.Time) (Decision, bool) {
+	fresh, old, bad := t.compare(service, r.order.Target)
+	if bad {
+		r.suspect = true
+	}
+	decision := Decision{Previous: r.status.Revision, Fresh: fresh, Old: old, Part: r.part(now)}
+	decision.Status = Status{Service: service, Target: r.order.Target, State: StateRunning}
+	switch {
+	case r.suspect:
+		decision.Status.State = StateRolledBack
+	case decision.Part >= completeAt:
+		decision.Status.State = StateCompleted
+	case r.recorded():
+		return Decision{}, false
+	}
+	return decision, true
+}
+
+// compare sums the evidence of all instances and tests it, as a whole and for each route.
+func (t *Table) compare(service, target string) (fresh, old Count, bad bool) {
+	freshBy, oldBy := map[string]Count{}, map[string]Count{}
+	add := func(counts map[Key]Count) {
+		for key, count := range counts {
+			if key.Service != service {
+				continue
+			}
+			if key.Version == target {
+				freshBy[key.Route] = freshBy[key.Route].plus(count)
+				fresh = fresh.plus(count)
+				continue
+			}
+			oldBy[key.Route] = oldBy[key.Route].plus(count)
+			old = old.plus(count)
+		}
+	}
+	add(t.own)
+	for _, counts := range t.peers {
+		add(counts)
+	}
+	bad = Worse(fresh, old)
+	for route, count := range freshBy {
+		bad = bad || Worse(count, oldBy[route])
+	}
+	return fresh, old, bad
+}
+
+// Own returns a copy of this instance's counts.
+func (t *Table) Own() map[Key]Count {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	counts := make(map[Key]Count, len(t.own))
+	for key, count := range t.own {
+		counts[key] = count
+	}
+	return counts
+}
+
+// Peer replaces the counts of a peer.
+func (t *Table) Peer(incarnation string, counts map[Key]Count) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.peers[incarnation] = counts
+}
+
+// View is a migration as it is handed to peers.
+type View struct {
+	Order   Order
+	Status  Status
+	Age     time.Duration
+	Suspect bool
+}
+
+// Views returns a copy of all migrations.
+func (t *Table) Views(now time.Time) []View {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	views := make([]View, 0, len(t.rows))
+	for _, r := range t.rows {
+		views = append(views, View{Order: r.order, Status: r.status, Age: now.Sub(r.started), Suspect: r.suspect})
+	}
+	return views
+}
+
+// Suspect takes a peer's finding that the target of an order is bad.
+func (t *Table) Suspect(order Order) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r, ok := t.rows[order.Service]; ok && r.order.Revision == order.Revision {
+		r.suspect = true
+	}
+}
--- /dev/null
+++ b/internal/migration/table.go
@@ -0,0 +1,246 @@
+package migration
+
+import (
+	"time"
+
+	"github.com/cicadawall/cicadawall/internal/lockorder"
+)
+
+// Key names the counter of one version on one route.
+type Key struct{ Service, Version, Route string }
+
+// row is one service's migration.
+type row struct {
+	order  Order
+	status Status
+	// started is when this instance learnt of the order, or earlier if a peer did.
+	started time.Time
+	// suspect is set once this instance found the version bad, before the record says so.
+	suspect bool
+}
+
+// Table holds the migrations and the evidence on versions. It is safe for concurrent use.
+type Table struct {
+	session time.Duration
+
+	mu    *lockorder.Mutex
+	rows  map[string]*row
+	own   map[Key]Count
+	means map[Key]time.Duration
+	peers map[string]map[Key]Count
+	// seen is the version that a session last ran on.
+	seen  map[string]visit
+	swept time.Time
+}
+
+type visit struct {
+	version string
+	at      time.Time
+}
+
+// NewTable returns an empty table. Requests of a session that follow each other within the given time belong together.
+func NewTable(session time.Duration) *Table {
+	return &Table{
+		session: session,
+		mu:      lockorder.New(lockorder.RankVersions),
+		rows:    map[string]*row{},
+		own:     map[Key]Count{},
+		means:   map[Key]time.Duration{},
+		peers:   map[string]map[Key]Count{},
+		seen:    map[string]visit{},
+	}
+}
+
+// Order takes an order and reports whether it is new. The age is how long ago it was given.
+func (t *Table) Order(order Order, age time.Duration, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r, ok := t.rows[order.Service]
+	if ok && r.order.Revision >= order.Revision {
+		r.begun(order.Revision, now.Add(-age))
+		return false
+	}
+	fresh := &row{order: order, started: now.Add(-age)}
+	if ok {
+		fresh.status = r.status
+	}
+	t.rows[order.Service] = fresh
+	t.forget(order.Service)
+	return true
+}
+
+// begun takes an earlier start of the same order.
+func (r *row) begun(revision int64, at time.Time) {
+	if r.order.Revision == revision && at.Before(r.started) {
+		r.started = at
+	}
+}
+
+// Begun takes the start of a service's order as another instance recorded it.
+func (t *Table) Begun(service string, revision int64, age time.Duration, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r, ok := t.rows[service]; ok {
+		r.begun(revision, now.Add(-age))
+	}
+}
+
+// forget drops the evidence on a service from before an order.
+func (t *Table) forget(service string) {
+	for key := range t.own {
+		if key.Service == service {
+			delete(t.own, key)
+			delete(t.means, key)
+		}
+	}
+	for _, counts := range t.peers {
+		for key := range counts {
+			if key.Service == service {
+				delete(counts, key)
+			}
+		}
+	}
+}
+
+// Recorded takes the recorded state of a service's migration and reports whether it is news.
+func (t *Table) Recorded(status Status) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r, ok := t.rows[status.Service]
+	if !ok {
+		r = &row{}
+		t.rows[status.Service] = r
+	}
+	if r.status.Revision >= status.Revision {
+		return false
+	}
+	r.status = status
+	return true
+}
+
+// recorded reports whether the record is about the order. Revisions come from one counter of the store.
+func (r *row) recorded() bool {
+	return r.status.Target == r.order.Target && r.status.Revision > r.order.Revision
+}
+
+// settled reports whether the record is final.
+func (r *row) settled() bool { return r.recorded() && r.status.State.Final() }
+
+// state returns the state that this instance acts on.
+func (r *row) state() State {
+	if r.settled() {
+		return r.status.State
+	}
+	if r.suspect {
+		return StateRolledBack
+	}
+	return StateRunning
+}
+
+// Choose returns the version that a session's request goes to and the one that it must avoid.
+func (t *Table) Choose(service, session string, now time.Time) (use, avoid string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r, ok := t.rows[service]
+	if !ok || r.order.Target == "" {
+		return "", ""
+	}
+	target := r.order.Target
+	switch r.state() {
+	case StateCompleted:
+		return target, ""
+	case StateRolledBack:
+		return "", target
+	case StateRunning:
+	}
+	part := r.part(now)
+	if part < rampStart {
+		if last, ok := t.seen[service+"\x00"+session]; ok && now.Sub(last.at) < t.session {
+			return t.visit(service, session, last.version == target, target, now)
+		}
+	}
+	return t.visit(service, session, position(service, target, session) < shareAt(part), target, now)
+}
+
+func (t *Table) visit(service, session string, onTarget bool, target string, now time.Time) (use, avoid string) {
+	version := ""
+	if onTarget {
+		version = target
+	}
+	t.sweep(now)
+	t.seen[service+"\x00"+session] = visit{version: version, at: now}
+	if onTarget {
+		return target, ""
+	}
+	return "", target
+}
+
+// sweep drops sessions that have ended.
+func (t *Table) sweep(now time.Time) {
+	if now.Sub(t.swept) < t.session {
+		return
+	}
+	t.swept = now
+	for key, last := range t.seen {
+		if now.Sub(last.at) >= t.session {
+			delete(t.seen, key)
+		}
+	}
+}
+
+func (r *row) part(now time.Time) float64 {
+	if r.order.Duration <= 0 {
+		return 1
+	}
+	return float64(now.Sub(r.started)) / float64(r.order.Duration)
+}
+
+// Observe records an answer of a version.
+func (t *Table) Observe(service, version, route string, bad bool, took time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r, ok := t.rows[service]
+	if !ok {
+		return
+	}
+	target := r.order.Target
+	key := Key{Service: service, Version: version, Route: route}
+	count := t.own[key]
+	count.Answers++
+	if bad {
+		count.Bad++
+	} else if version == target && t.slow(key, took) {
+		count.Slow++
+	}
+	t.own[key] = count
+	if !bad && version != target {
+		t.learn(Key{Service: service, Route: route}, took)
+	}
+}
+
+// slow compares an answer of the target with the mean of the other versions.
+func (t *Table) slow(key Key, took time.Duration) bool {
+	mean, ok := t.means[Key{Service: key.Service, Route: key.Route}]
+	return ok && took > slowFloor && took > slowFactor*mean
+}
+
+func (t *Table) learn(key Key, took time.Duration) {
+	mean, ok := t.means[key]
+	if !ok {
+		t.means[key] = took
+		return
+	}
+	t.means[key] = mean + time.Duration(meanWeight*float64(took-mean))
+}
+
+// Active reports whether a migration is running.
+func (t *Table) Active() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range t.rows {
+		if r.order.Target != "" && r.state() == StateRunning {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -33,6 +33,23 @@
 	SentSince int
 	// CachedBlocks is the number of leading prompt blocks that the server probably holds; see PrefixIndex.Mark.
 	CachedBlocks int
+
+	// Software is the version of the server's software.
+	Software string
+	// Slots is the number of requests that the server runs at the same time; zero if it is unknown.
+	Slots int
+	// MaxInFlight bounds this instance's requests on the server; zero means no bound.
+	MaxInFlight int
+	// CachedTokens is the number of leading tokens of the prompt that the server probably holds.
+	CachedTokens int
+	// PendingTokens counts the prompt tokens sent to the server that it has not read yet.
+	PendingTokens int
+	// AnswerTime is the moving average of the server's answer time; zero if there is none.
+	AnswerTime time.Duration
+	// FailureRate is the share of recent attempts that failed, which fades with time.
+	FailureRate float64
+	// Cold is set while the server is slow after its start.
+	Cold bool
 }
 
 // Load returns the estimated number of requests on the server: the report plus what this instance sent since, and never
@@ -63,6 +80,12 @@
 	Zone string
 	// Exclude names servers that an earlier attempt of the same request already used.
 	Exclude []string
+
+	// Software, if not empty, is the only software version that may take the request; AvoidSoftware may not.
+	Software      string
+	AvoidSoftware string
+	// PromptTokens is the length of the prompt.
+	PromptTokens int
 }
 
 // Filter accepts a candidate or names the reason for dropping it.
@@ -91,6 +114,9 @@
 	ReasonLeaving   Reason = "leaving"
 	ReasonEjected   Reason = "ejected"
 	ReasonTried     Reason = "used by an earlier attempt"
+
+	ReasonOtherVersion Reason = "other software version"
+	ReasonFull         Reason = "share of connections in use"
 )
 
 // Verdict explains why a candidate was dropped.
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -70,6 +70,11 @@
 	for i := range snapshot.Document.Classes {
 		classes = append(classes, snapshot.Document.Classes[i].Name)
 	}
+	m.DeclareNames(organisations, classes)
+}
+
+// DeclareNames gives organisations and classes their own label values, as far as there is room.
+func (m *Metrics) DeclareNames(organisations, classes []string) {
 	m.organisations.declare(organisations)
 	m.classes.declare(classes)
 }
