Keep sessions on their version through the first half of a roll-out

A session's requests share the last part but one of their prompt, and that session had no part in the hash; the trial share moved sessions in the first half. Now the version follows from that part, sessions move in the second half only, and requests without a session try the new version before.

--- a/internal/gateway/configuration.go
+++ b/internal/gateway/configuration.go
@@ -144,7 +144,9 @@
 func (c *Configuration) Organisation(key string) *Organisation { return c.keys[key] }
 
 // NeedsKey reports whether requests of the route must carry a known key.
-func (c *Configuration) NeedsKey(route *Route) bool { return len(c.Organisations) > 0 && !route.Anonymous }
+func (c *Configuration) NeedsKey(route *Route) bool {
+	return len(c.Organisations) > 0 && !route.Anonymous
+}
 
 // Configurations is the table of the configuration in force. Its version never goes down. It is safe for concurrent use.
 type Configurations struct {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"github.com/cicadawall/cicadawall/internal/admission"
 	"github.com/cicadawall/cicadawall/internal/backend"
 	"github.com/cicadawall/cicadawall/internal/fault"
+	"github.com/cicadawall/cicadawall/internal/migration"
 	"github.com/cicadawall/cicadawall/internal/retry"
 	"github.com/cicadawall/cicadawall/internal/worker"
 )
@@ -28,8 +29,8 @@
 
 // Versions chooses between software versions of a service while an operator moves it from one to another.
 type Versions interface {
-	// Choose returns the version that the session's requests go to and the one that they must avoid; both may be empty.
-	Choose(service, session string, now time.Time) (use, avoid string)
+	// Choose returns the version that takes a session's request; sessionless requests belong to no session.
+	Choose(service, session string, sessionless bool, now time.Time) migration.Preference
 	// Observe records an answer of a version.
 	Observe(service, version, route string, bad bool, took time.Duration)
 }
--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -31,12 +31,17 @@
 	Encoded any
 }
 
-// session returns what names the caller's session: its own part of the prompt, else the request.
+// session returns what names the caller's session. The last part of a prompt may belong to the request alone, the one before
+// it is the same for all requests of a session.
 func (r *Request) session() string {
-	if len(r.Prompt) > 0 {
-		return r.Prompt[len(r.Prompt)-1].ID
+	switch len(r.Prompt) {
+	case 0:
+		return r.ID
+	case 1:
+		return r.Prompt[0].ID
+	default:
+		return r.Prompt[len(r.Prompt)-2].ID
 	}
-	return r.ID
 }
 
 // Attempt is one request for one backend server.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -11,6 +11,7 @@
 	"github.com/cicadawall/cicadawall/internal/admission"
 	"github.com/cicadawall/cicadawall/internal/backend"
 	"github.com/cicadawall/cicadawall/internal/fault"
+	"github.com/cicadawall/cicadawall/internal/migration"
 	"github.com/cicadawall/cicadawall/internal/routing"
 )
 
@@ -140,8 +141,8 @@
 	}
 	query := backend.Query{Service: r.service.Name, Model: r.model, Prompt: r.request.Prompt, MaxInFlight: r.maxInFlight()}
 	candidates := r.gateway.Directory.Candidates(query, now)
-	use, avoid := r.gateway.Versions.Choose(r.service.Name, r.request.session(), now)
-	choice := r.choose(candidates, use, avoid, now)
+	preference := r.gateway.Versions.Choose(r.service.Name, r.request.session(), len(r.request.Prompt) == 0, now)
+	choice := r.choose(candidates, preference, now)
 	if !choice.Found {
 		r.finish()
 		return nil, false
@@ -158,25 +159,25 @@
 	return server, true
 }
 
-// choose applies the routing policy, first to the version that the session should use.
-func (r *run) choose(candidates []routing.Candidate, use, avoid string, now time.Time) routing.Choice {
+// choose applies the routing policy. If no server is left it first takes one that was tried before, then another version.
+func (r *run) choose(candidates []routing.Candidate, preference migration.Preference, now time.Time) routing.Choice {
 	policy := routing.PlainPolicy()
 	if r.route.Prompt {
 		policy = routing.PromptPolicy()
 	}
 	want := routing.Request{
-		Zone: r.gateway.AvailabilityZone, Exclude: r.tried, Software: use, AvoidSoftware: avoid,
+		Zone: r.gateway.AvailabilityZone, Exclude: r.tried, Software: preference.Use, AvoidSoftware: preference.Avoid,
 		PromptTokens: backend.Tokens(r.request.Prompt),
 	}
 	choice, _ := policy.Choose(candidates, want, now, r.rng)
-	if !choice.Found && use != "" {
-		want.Software = ""
-		choice, _ = policy.Choose(candidates, want, now, r.rng)
-	}
 	if !choice.Found && len(r.tried) > 0 {
 		want.Exclude = nil
 		choice, _ = policy.Choose(candidates, want, now, r.rng)
 	}
+	if !choice.Found && !preference.Firm && preference != (migration.Preference{}) {
+		want.Software, want.AvoidSoftware = "", ""
+		choice, _ = policy.Choose(candidates, want, now, r.rng)
+	}
 	return choice
 }
 
--- a/internal/migration/migration.go
+++ b/internal/migration/migration.go
@@ -42,28 +42,34 @@
 }
 
 const (
-	// trialShare is the share of the sessions on the new version during the first half. A bad version must get far less
-	// than the platform's bound on its exposure, 0.1 to 0.15, and enough requests to be told from a good one.
-	trialShare = 0.06
-	// rampStart and rampEnd are the parts of the duration between which the share rises to 1. Sessions must not change in
-	// the first half, and requests on the old version need the rest to end.
-	rampStart = 0.52
-	rampEnd   = 0.70
+	// earlyShare is the share of requests without a session on the new version during the first half. Sessions must keep
+	// their version until then, and no instance knows what a session ran on elsewhere.
+	earlyShare = 0.06
+	// trialShare is the share of the sessions on the new version at the start of the second half. A bad version must get far
+	// less than the platform's bound on its exposure, 0.1 to 0.15 of all requests, and enough to be told from a good one.
+	trialShare = 0.12
+	// trialStart, rampStart and rampEnd are the parts of the duration at which sessions start to move, at which the share
+	// starts to rise, and at which it is 1. Requests on the old version need the rest to end.
+	trialStart = 0.51
+	rampStart  = 0.66
+	rampEnd    = 0.80
 	// completeAt is the part of the duration after which the old version may end.
-	completeAt = 0.92
-	// trialStart is the wait before the first request, in which the new servers register at all instances.
-	trialStart = 0.04
+	completeAt = 0.93
+	// earlyStart is the wait before the first request, in which the new servers register at all instances.
+	earlyStart = 0.04
 )
 
 // shareAt returns the share of the sessions on the new version at a part of the duration.
-func shareAt(part float64) float64 {
+func shareAt(part float64, sessionless bool) float64 {
 	switch {
-	case part < trialStart:
+	case part < earlyStart || part < trialStart && !sessionless:
 		return 0
+	case part < trialStart:
+		return earlyShare
 	case part < rampStart:
 		return trialShare
 	case part < rampEnd:
-		// Doubling in equal steps keeps the exposure of a version that turns bad late small.
+		// A slow start of the rise keeps the exposure of a version that turns bad late small.
 		return trialShare + (1-trialShare)*square((part-rampStart)/(rampEnd-rampStart))
 	default:
 		return 1
@@ -72,6 +78,15 @@
 
 func square(x float64) float64 { return x * x }
 
+// Preference says which version takes a request while a service is moved.
+type Preference struct {
+	// Use is the version that takes the request, Avoid one that does not; both may be empty.
+	Use   string
+	Avoid string
+	// Firm is set if the request rather fails than runs on another version.
+	Firm bool
+}
+
 // position places a session between 0 and 1, the same at every instance.
 func position(service, target, session string) float64 {
 	hash := xxhash.New()
--- a/internal/migration/table.go
+++ b/internal/migration/table.go
@@ -21,33 +21,21 @@
 
 // Table holds the migrations and the evidence on versions. It is safe for concurrent use.
 type Table struct {
-	session time.Duration
-
 	mu    *lockorder.Mutex
 	rows  map[string]*row
 	own   map[Key]Count
 	means map[Key]time.Duration
 	peers map[string]map[Key]Count
-	// seen is the version that a session last ran on.
-	seen  map[string]visit
-	swept time.Time
-}
-
-type visit struct {
-	version string
-	at      time.Time
 }
 
-// NewTable returns an empty table. Requests of a session that follow each other within the given time belong together.
-func NewTable(session time.Duration) *Table {
+// NewTable returns an empty table.
+func NewTable() *Table {
 	return &Table{
-		session: session,
-		mu:      lockorder.New(lockorder.RankVersions),
-		rows:    map[string]*row{},
-		own:     map[Key]Count{},
-		means:   map[Key]time.Duration{},
-		peers:   map[string]map[Key]Count{},
-		seen:    map[string]visit{},
+		mu:    lockorder.New(lockorder.RankVersions),
+		rows:  map[string]*row{},
+		own:   map[Key]Count{},
+		means: map[Key]time.Duration{},
+		peers: map[string]map[Key]Count{},
 	}
 }
 
@@ -137,55 +125,27 @@
 	return StateRunning
 }
 
-// Choose returns the version that a session's request goes to and the one that it must avoid.
-func (t *Table) Choose(service, session string, now time.Time) (use, avoid string) {
+// Choose returns the version that takes a session's request. Sessionless requests belong to no session.
+func (t *Table) Choose(service, session string, sessionless bool, now time.Time) Preference {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r, ok := t.rows[service]
 	if !ok || r.order.Target == "" {
-		return "", ""
+		return Preference{}
 	}
 	target := r.order.Target
 	switch r.state() {
 	case StateCompleted:
-		return target, ""
+		return Preference{Use: target}
 	case StateRolledBack:
-		return "", target
+		return Preference{Avoid: target, Firm: true}
 	case StateRunning:
 	}
 	part := r.part(now)
-	if part < rampStart {
-		if last, ok := t.seen[service+"\x00"+session]; ok && now.Sub(last.at) < t.session {
-			return t.visit(service, session, last.version == target, target, now)
-		}
-	}
-	return t.visit(service, session, position(service, target, session) < shareAt(part), target, now)
-}
-
-func (t *Table) visit(service, session string, onTarget bool, target string, now time.Time) (use, avoid string) {
-	version := ""
-	if onTarget {
-		version = target
-	}
-	t.sweep(now)
-	t.seen[service+"\x00"+session] = visit{version: version, at: now}
-	if onTarget {
-		return target, ""
-	}
-	return "", target
-}
-
-// sweep drops sessions that have ended.
-func (t *Table) sweep(now time.Time) {
-	if now.Sub(t.swept) < t.session {
-		return
-	}
-	t.swept = now
-	for key, last := range t.seen {
-		if now.Sub(last.at) >= t.session {
-			delete(t.seen, key)
-		}
+	if position(service, target, session) < shareAt(part, sessionless) {
+		return Preference{Use: target}
 	}
+	return Preference{Avoid: target, Firm: part < trialStart}
 }
 
 func (r *row) part(now time.Time) float64 {
