--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -166,16 +167,19 @@
 		policy = routing.PromptPolicy()
 	}
 	want := routing.Request{
-		Zone: r.gateway.AvailabilityZone, Exclude: r.tried, Software: preference.Use, AvoidSoftware: preference.Avoid,
+		Zone: r.gateway.AvailabilityZone, Exclude: r.tried, Software: preference.Use, NotSoftware: preference.Withdrawn,
 		PromptTokens: backend.Tokens(r.request.Prompt),
 	}
+	if preference.Avoid != "" {
+		want.NotSoftware = append(slices.Clone(want.NotSoftware), preference.Avoid)
+	}
 	choice, _ := policy.Choose(candidates, want, now, r.rng)
 	if !choice.Found && len(r.tried) > 0 {
 		want.Exclude = nil
 		choice, _ = policy.Choose(candidates, want, now, r.rng)
 	}
-	if !choice.Found && !preference.Firm && preference != (migration.Preference{}) {
-		want.Software, want.AvoidSoftware = "", ""
+	if !choice.Found && (preference.Use != "" || preference.Avoid != "") {
+		want.Software, want.NotSoftware = "", preference.Withdrawn
 		choice, _ = policy.Choose(candidates, want, now, r.rng)
 	}
 	return choice
--- a/internal/migration/migration.go
+++ b/internal/migration/migration.go
@@ -80,11 +80,12 @@
 
 // Preference says which version takes a request while a service is moved.
 type Preference struct {
-	// Use is the version that takes the request, Avoid one that does not; both may be empty.
-	Use   string
+	// Use is the version that takes the request; empty if any may that is not named below.
+	Use string
+	// Avoid is the version that does not take the request unless no other is left; empty if there is none.
 	Avoid string
-	// Firm is set if the request rather fails than runs on another version.
-	Firm bool
+	// Withdrawn versions take no request, even if it fails for that.
+	Withdrawn []string
 }
 
 // position places a session between 0 and 1, the same at every instance.
--- /dev/null
+++ b/internal/migration/migration_test.go
@@ -0,0 +1,121 @@
+package migration
+
+import (
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+)
+
+const service = "desk"
+
+var origin = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func ordered(target string, revision int64) Order {
+	return Order{Service: service, Target: target, Duration: 20 * time.Second, Revision: revision}
+}
+
+// Guards against a rolled-back version that takes requests again once the next version is ordered, while its servers are
+// still there (hunt mix --seed 552977440078, PINNED).
+func TestRolledBackVersionStaysWithdrawn(t *testing.T) {
+	table := NewTable()
+	table.Order(ordered("v2", 10), 0, origin)
+	table.Recorded(Status{Service: service, Target: "v2", State: StateRolledBack, Revision: 11})
+	table.Order(ordered("v3", 12), 0, origin)
+	for _, part := range []float64{0.1, 0.6, 0.9} {
+		at := origin.Add(time.Duration(part * float64(20*time.Second)))
+		if p := table.Choose(service, "session", false, at); !slices.Contains(p.Withdrawn, "v2") {
+			t.Errorf("at %.1f of the duration v2 may take requests: %+v", part, p)
+		}
+	}
+	table.Order(ordered("v2", 20), 0, origin)
+	if p := table.Choose(service, "session", false, origin); slices.Contains(p.Withdrawn, "v3") {
+		t.Errorf("v3 counts as rolled back although no record says so: %+v", p)
+	}
+}
+
+// Guards against sessions that change their version in the first half, or go back to the old one afterwards.
+func TestSessionsMoveOnceAndLate(t *testing.T) {
+	table := NewTable()
+	table.Order(ordered("v2", 10), 0, origin)
+	for i := range 200 {
+		session := "session-" + strconv.Itoa(i)
+		moved := false
+		for part := 0.0; part < 1; part += 0.01 {
+			at := origin.Add(time.Duration(part * float64(20*time.Second)))
+			on := table.Choose(service, session, false, at).Use == "v2"
+			if on && part < 0.5 {
+				t.Fatalf("%s is on v2 at %.2f", session, part)
+			}
+			if moved && !on {
+				t.Fatalf("%s goes back at %.2f", session, part)
+			}
+			moved = moved || on
+		}
+		if !moved {
+			t.Fatalf("%s never moves", session)
+		}
+	}
+}
+
+// Guards against a bad version that is not given up after a few answers, and a good one that is.
+func TestBadVersionIsGivenUp(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		bad  func(i int) bool
+		want State
+	}{
+		{"four in ten fail", func(i int) bool { return i%5 < 2 }, StateRolledBack},
+		{"one in fifty fails", func(i int) bool { return i%50 == 49 }, StateRunning},
+	} {
+		table := NewTable()
+		table.Order(ordered("v2", 10), 0, origin)
+		for i := range 400 {
+			table.Observe(service, "v1", "route", i%50 == 0, 100*time.Millisecond)
+		}
+		answers := 0
+		state := StateRunning
+		for i := range 100 {
+			table.Observe(service, "v2", "route", c.bad(i), 100*time.Millisecond)
+			answers++
+			if decisions := table.Decide(origin.Add(12 * time.Second)); len(decisions) == 1 {
+				state = decisions[0].Status.State
+				if state == StateRolledBack {
+					break
+				}
+			}
+		}
+		if state != c.want || c.want == StateRolledBack && answers > 15 {
+			t.Errorf("%s: state %s after %d answers", c.name, state, answers)
+		}
+	}
+}
+
+// Guards against a version that is slow on one route only and is completed.
+func TestSlowRouteIsFound(t *testing.T) {
+	table := NewTable()
+	table.Order(ordered("v2", 10), 0, origin)
+	for range 100 {
+		table.Observe(service, "v1", "a", false, 300*time.Millisecond)
+		table.Observe(service, "v1", "b", false, 300*time.Millisecond)
+		table.Observe(service, "v2", "a", false, 300*time.Millisecond)
+	}
+	for range 12 {
+		table.Observe(service, "v2", "b", false, 2400*time.Millisecond)
+	}
+	decisions := table.Decide(origin.Add(12 * time.Second))
+	if len(decisions) != 1 || decisions[0].Status.State != StateRolledBack {
+		t.Errorf("decisions %+v", decisions)
+	}
+}
+
+// Guards against a final record of an earlier order that is taken for the current one of the same version.
+func TestRecordOfEarlierOrderDoesNotCount(t *testing.T) {
+	table := NewTable()
+	table.Order(ordered("v2", 10), 0, origin)
+	table.Recorded(Status{Service: service, Target: "v2", State: StateRolledBack, Revision: 11})
+	table.Order(ordered("v2", 20), 0, origin)
+	if p := table.Choose(service, "session", true, origin.Add(19*time.Second)); p.Use != "v2" {
+		t.Errorf("the second order does not move the session: %+v", p)
+	}
+}
--- a/internal/migration/table.go
+++ b/internal/migration/table.go
@@ -1,6 +1,7 @@
 package migration
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cicadawall/cicadawall/internal/lockorder"
@@ -17,6 +18,8 @@
 	started time.Time
 	// suspect is set once this instance found the version bad, before the record says so.
 	suspect bool
+	// withdrawn holds the targets of earlier orders that were rolled back. Their servers go on for some seconds.
+	withdrawn []string
 }
 
 // Table holds the migrations and the evidence on versions. It is safe for concurrent use.
@@ -51,12 +54,22 @@
 	fresh := &row{order: order, started: now.Add(-age)}
 	if ok {
 		fresh.status = r.status
+		fresh.withdrawn = r.withdrawnTargets(order.Target)
 	}
 	t.rows[order.Service] = fresh
 	t.forget(order.Service)
 	return true
 }
 
+// withdrawnTargets returns the versions that were rolled back, without the one that is ordered now.
+func (r *row) withdrawnTargets(ordered string) []string {
+	versions := slices.Clone(r.withdrawn)
+	if r.order.Target != "" && r.state() == StateRolledBack && !slices.Contains(versions, r.order.Target) {
+		versions = append(versions, r.order.Target)
+	}
+	return slices.DeleteFunc(versions, func(version string) bool { return version == ordered })
+}
+
 // begun takes an earlier start of the same order.
 func (r *row) begun(revision int64, at time.Time) {
 	if r.order.Revision == revision && at.Before(r.started) {
@@ -130,22 +143,25 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r, ok := t.rows[service]
-	if !ok || r.order.Target == "" {
+	if !ok {
 		return Preference{}
 	}
-	target := r.order.Target
-	switch r.state() {
-	case StateCompleted:
-		return Preference{Use: target}
-	case StateRolledBack:
-		return Preference{Avoid: target, Firm: true}
-	case StateRunning:
+	if r.order.Target == "" {
+		return Preference{Withdrawn: r.withdrawn}
 	}
+	target := r.order.Target
+	preference := Preference{Withdrawn: r.withdrawnTargets("")}
 	part := r.part(now)
-	if position(service, target, session) < shareAt(part, sessionless) {
-		return Preference{Use: target}
+	switch state := r.state(); {
+	case state == StateRolledBack:
+	case state == StateCompleted || position(service, target, session) < shareAt(part, sessionless):
+		preference.Use = target
+	case part < trialStart:
+		preference.Withdrawn = append(preference.Withdrawn, target)
+	default:
+		preference.Avoid = target
 	}
-	return Preference{Avoid: target, Firm: part < trialStart}
+	return preference
 }
 
 func (r *row) part(now time.Time) float64 {
@@ -155,6 +171,20 @@
 	return float64(now.Sub(r.started)) / float64(r.order.Duration)
 }
 
+// Withdraw takes a version that was rolled back before this instance started.
+func (t *Table) Withdraw(service, version string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r, ok := t.rows[service]
+	if !ok {
+		r = &row{}
+		t.rows[service] = r
+	}
+	if !slices.Contains(r.withdrawn, version) && r.order.Target != version {
+		r.withdrawn = append(r.withdrawn, version)
+	}
+}
+
 // Observe records an answer of a version.
 func (t *Table) Observe(service, version, route string, bad bool, took time.Duration) {
 	t.mu.Lock()
--- a/internal/routing/gateway.go
+++ b/internal/routing/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -19,7 +20,7 @@
 	coldFactor = 1.6
 )
 
-// VersionFilter drops servers of another software version than the one asked for, and of the one to avoid.
+// VersionFilter drops servers of another software version than the one asked for, and of those to avoid.
 type VersionFilter struct{}
 
 // Drop implements Filter.
@@ -27,7 +28,7 @@
 	if r.Software != "" && c.Software != r.Software {
 		return ReasonOtherVersion
 	}
-	if r.AvoidSoftware != "" && c.Software == r.AvoidSoftware {
+	if slices.Contains(r.NotSoftware, c.Software) {
 		return ReasonOtherVersion
 	}
 	return ReasonNone
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -81,9 +81,9 @@
 	// Exclude names servers that an earlier attempt of the same request already used.
 	Exclude []string
 
-	// Software, if not empty, is the only software version that may take the request; AvoidSoftware may not.
-	Software      string
-	AvoidSoftware string
+	// Software, if not empty, is the only software version that may take the request; those of NotSoftware may not.
+	Software    string
+	NotSoftware []string
 	// PromptTokens is the length of the prompt.
 	PromptTokens int
 }
