Keep models apart on a service's servers; share the load on servers between instances

Servers are now split between models by the work of each; instances pull each other's load each 0.6 s.

--- a/internal/api/peer.gen.go
+++ b/internal/api/peer.gen.go
@@ -201,6 +201,16 @@
 	PeerAddress string `json:"peerAddress" yaml:"peerAddress"`
 }
 
+// GatewayLoad defines model for GatewayLoad.
+type GatewayLoad struct {
+	// PendingTokens Prompt tokens of the sender that the server has not read yet.
+	PendingTokens int `json:"pendingTokens,omitempty" yaml:"pendingTokens,omitempty"`
+
+	// Running Requests of the sender on the server.
+	Running int    `json:"running" yaml:"running"`
+	Server  string `json:"server" yaml:"server"`
+}
+
 // GatewayMigration defines model for GatewayMigration.
 type GatewayMigration struct {
 	// AgeMillis Time since the order was given.
@@ -241,12 +251,15 @@
 // GatewayState What an instance that forwards under routes knows of the store, and what it counted itself.
 type GatewayState struct {
 	// Configuration Encoded declaration, if it is newer than the version in query parameter have.
-	Configuration        []byte             `json:"configuration,omitempty" yaml:"configuration,omitempty"`
-	ConfigurationVersion int64              `json:"configurationVersion" yaml:"configurationVersion"`
-	Counts               []GatewayCount     `json:"counts" yaml:"counts"`
-	Incarnation          string             `json:"incarnation" yaml:"incarnation"`
-	Instances            []GatewayInstance  `json:"instances" yaml:"instances"`
-	Migrations           []GatewayMigration `json:"migrations" yaml:"migrations"`
+	Configuration        []byte            `json:"configuration,omitempty" yaml:"configuration,omitempty"`
+	ConfigurationVersion int64             `json:"configurationVersion" yaml:"configurationVersion"`
+	Counts               []GatewayCount    `json:"counts" yaml:"counts"`
+	Incarnation          string            `json:"incarnation" yaml:"incarnation"`
+	Instances            []GatewayInstance `json:"instances" yaml:"instances"`
+
+	// Loads Servers on which the sender has requests.
+	Loads      []GatewayLoad      `json:"loads,omitempty" yaml:"loads,omitempty"`
+	Migrations []GatewayMigration `json:"migrations" yaml:"migrations"`
 
 	// Servers Backend servers, if query parameter servers is set.
 	Servers []GatewayServer `json:"servers,omitempty" yaml:"servers,omitempty"`
--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -54,6 +54,7 @@
 	rows     map[string]*row
 	services map[string][]*row
 	known    bool
+	peers    peerLoads
 }
 
 // NewDirectory returns an empty table.
@@ -184,13 +185,17 @@
 	defer d.mu.Unlock()
 	rows := d.services[q.Service]
 	candidates := make([]routing.Candidate, 0, len(rows))
+	others, scale := d.peers.sum(now)
 	for _, r := range rows {
 		if !r.removeAt.IsZero() && !now.Before(r.removeAt) {
 			continue
 		}
-		candidates = append(candidates, r.candidate(q, now))
+		candidate := r.candidate(q, now)
+		other := others[r.entry.ID]
+		candidate.OtherInFlight = int(scale * float64(other.Running))
+		candidate.PendingTokens += int(scale * float64(other.PendingTokens))
+		candidates = append(candidates, candidate)
 	}
-	markHome(candidates, q)
 	return candidates
 }
 
@@ -211,25 +216,25 @@
 	}
 }
 
-// markHome assumes that the home server of a shared prompt holds it. Every instance computes the same home, so that one
+// MarkHome assumes that the home server of a shared prompt holds it. Every instance computes the same home, so that one
 // server reads a shared prompt for all of them without a message.
-func markHome(candidates []routing.Candidate, q Query) {
-	shared := sharedPart(q.Prompt)
+func MarkHome(candidates []routing.Candidate, model string, prompt []Part) {
+	shared := sharedPart(prompt)
 	if shared == nil {
 		return
 	}
 	home, highest := -1, uint64(0)
 	for i := range candidates {
-		if candidates[i].Leaving {
+		if candidates[i].Leaving || candidates[i].Foreign {
 			continue
 		}
-		weight := rendezvous.Weight(shared.ID+q.Model, candidates[i].ID)
+		weight := rendezvous.Weight(shared.ID+model, candidates[i].ID)
 		if home < 0 || weight > highest {
 			home, highest = i, weight
 		}
 	}
 	if home >= 0 {
-		candidates[home].CachedTokens = max(candidates[home].CachedTokens, tokensThrough(q.Prompt, shared))
+		candidates[home].CachedTokens = max(candidates[home].CachedTokens, tokensThrough(prompt, shared))
 	}
 }
 
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -1,6 +1,5 @@
-// Package exchange lets instances that forward under routes learn from each other: the configuration, the servers and the
-// state of migrations while the store refuses them, and the counts of good and bad answers while a migration runs. Nothing is
-// asked while neither is the case.
+// Package exchange lets instances that forward under routes learn from each other: the load on the servers and the counts of
+// good and bad answers, and while the store refuses them the configuration, the servers and the state of migrations.
 package exchange
 
 import (
@@ -105,12 +104,9 @@
 	return addresses[:min(len(addresses), peersPerRound)]
 }
 
-// Round pulls from peers if there is a reason to. It is the run of a periodic duty.
+// Round pulls from peers. It is the run of a periodic duty.
 func (e *Exchange) Round(ctx context.Context) error {
 	away := e.Away(time.Now())
-	if !away && !e.Migrations.Active() {
-		return nil
-	}
 	targets := e.targets()
 	done := make(chan struct{}, len(targets))
 	for _, address := range targets {
@@ -168,6 +164,11 @@
 		counts[key] = migration.Count{Answers: c.Answers, Bad: c.Bad, Slow: c.Slow}
 	}
 	e.Migrations.Peer(state.Incarnation, counts)
+	loads := make(map[string]backend.Load, len(state.Loads))
+	for _, l := range state.Loads {
+		loads[l.Server] = backend.Load{Running: l.Running, PendingTokens: l.PendingTokens}
+	}
+	e.Directory.Peer(state.Incarnation, loads, e.Instances(), now)
 	if away && state.ServersKnown {
 		e.mergeServers(state.Servers, now)
 	}
@@ -223,6 +224,9 @@
 			Service: key.Service, Version: key.Version, Route: key.Route, Answers: count.Answers, Bad: count.Bad, Slow: count.Slow,
 		})
 	}
+	for id, load := range e.Directory.Loads() {
+		state.Loads = append(state.Loads, api.GatewayLoad{Server: id, Running: load.Running, PendingTokens: load.PendingTokens})
+	}
 	if servers && !e.Away(now) {
 		state.ServersKnown = e.Directory.Known()
 		state.Servers = e.servers()
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -173,6 +173,11 @@
 	if preference.Avoid != "" {
 		want.NotSoftware = append(slices.Clone(want.NotSoftware), preference.Avoid)
 	}
+	if r.route.Prompt {
+		from, to := r.gateway.models.span(r.service, r.model, now)
+		policy.Partition(candidates, want, from, to, now)
+		backend.MarkHome(candidates, r.model, r.request.Prompt)
+	}
 	choice, _ := policy.Choose(candidates, want, now, r.rng)
 	if !choice.Found && len(r.tried) > 0 {
 		want.Exclude = nil
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -18,10 +18,12 @@
 	r.runs++
 	first := time.Now()
 	server.Reading(first)
+	r.read(first)
 	if !r.began && r.escalate(server, reply) {
 		server.End(backend.ResultNeutral, first)
 		return true
 	}
+	r.accepted(first)
 	watch := r.watchPauses(cancel)
 	defer watch.stop()
 	for {
--- a/internal/routing/gateway.go
+++ b/internal/routing/gateway.go
@@ -52,7 +52,7 @@
 // Score implements Scorer.
 func (PromptScorer) Score(c *Candidate, r *Request, _ time.Time) time.Duration {
 	tokens := max(0, r.PromptTokens-c.CachedTokens) + c.PendingTokens
-	return time.Duration(tokens)*time.Millisecond/prefillTokensPerMilli + time.Duration(c.InFlight)*runDelay
+	return time.Duration(tokens)*time.Millisecond/prefillTokensPerMilli + time.Duration(c.InFlight+c.OtherInFlight)*runDelay
 }
 
 // AnswerScorer estimates the time of a plain answer from the server's recent answers and the places that are taken.
@@ -65,7 +65,7 @@
 		usual = usualAnswer
 	}
 	slots := max(1, c.Slots)
-	score := float64(usual) * (1 + float64(c.InFlight)/float64(slots))
+	score := float64(usual) * (1 + float64(c.InFlight+c.OtherInFlight)/float64(slots))
 	if c.Cold {
 		score *= coldFactor
 	}
@@ -107,7 +107,7 @@
 func PromptPolicy() Policy {
 	return Policy{
 		Filters: []Filter{VersionFilter{}, LeavingFilter{}, TriedFilter{}, FullFilter{}},
-		Scorers: []Scorer{PromptScorer{}, FailureScorer{}, ZoneScorer{}},
+		Scorers: []Scorer{PromptScorer{}, PartitionScorer{}, FailureScorer{}, ZoneScorer{}},
 		Picker:  Lowest{},
 	}
 }
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -42,6 +42,8 @@
 	MaxInFlight int
 	// CachedTokens is the number of leading tokens of the prompt that the server probably holds.
 	CachedTokens int
+	// OtherInFlight estimates the requests of the other instances on the server.
+	OtherInFlight int
 	// PendingTokens counts the prompt tokens sent to the server that it has not read yet.
 	PendingTokens int
 	// AnswerTime is the moving average of the server's answer time; zero if there is none.
@@ -50,6 +52,8 @@
 	FailureRate float64
 	// Cold is set while the server is slow after its start.
 	Cold bool
+	// Foreign is set if other models use the server; see Policy.Partition.
+	Foreign bool
 }
 
 // Load returns the estimated number of requests on the server: the report plus what this instance sent since, and never
