--- a/internal/api/peer.gen.go
+++ b/internal/api/peer.gen.go
@@ -225,6 +225,9 @@
 	// Suspect The sender found the target bad.
 	Suspect bool   `json:"suspect,omitempty" yaml:"suspect,omitempty"`
 	Target  string `json:"target" yaml:"target"`
+
+	// Withdrawn Targets of earlier orders that were rolled back.
+	Withdrawn []string `json:"withdrawn,omitempty" yaml:"withdrawn,omitempty"`
 }
 
 // GatewayMigrationStart Value of the row that records when an order was first seen.
@@ -251,17 +254,19 @@
 // GatewayState What an instance that forwards under routes knows of the store, and what it counted itself.
 type GatewayState struct {
 	// Configuration Encoded declaration, if it is newer than the version in query parameter have.
-	Configuration        []byte            `json:"configuration,omitempty" yaml:"configuration,omitempty"`
-	ConfigurationVersion int64             `json:"configurationVersion" yaml:"configurationVersion"`
-	Counts               []GatewayCount    `json:"counts" yaml:"counts"`
-	Incarnation          string            `json:"incarnation" yaml:"incarnation"`
-	Instances            []GatewayInstance `json:"instances" yaml:"instances"`
+	Configuration        []byte         `json:"configuration,omitempty" yaml:"configuration,omitempty"`
+	ConfigurationVersion int64          `json:"configurationVersion" yaml:"configurationVersion"`
+	Counts               []GatewayCount `json:"counts,omitempty" yaml:"counts,omitempty"`
+	Incarnation          string         `json:"incarnation" yaml:"incarnation"`
+
+	// Instances Known instances, if query parameter full is set.
+	Instances []GatewayInstance `json:"instances,omitempty" yaml:"instances,omitempty"`
 
 	// Loads Servers on which the sender has requests.
 	Loads      []GatewayLoad      `json:"loads,omitempty" yaml:"loads,omitempty"`
-	Migrations []GatewayMigration `json:"migrations" yaml:"migrations"`
+	Migrations []GatewayMigration `json:"migrations,omitempty" yaml:"migrations,omitempty"`
 
-	// Servers Backend servers, if query parameter servers is set.
+	// Servers Backend servers, if query parameter full is set.
 	Servers []GatewayServer `json:"servers,omitempty" yaml:"servers,omitempty"`
 
 	// ServersKnown Whether servers is a complete list.
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -15,6 +15,7 @@
 	"github.com/cicadawall/cicadawall/internal/gateway"
 	"github.com/cicadawall/cicadawall/internal/lockorder"
 	"github.com/cicadawall/cicadawall/internal/migration"
+	"github.com/cicadawall/cicadawall/internal/rendezvous"
 )
 
 const (
@@ -26,10 +27,24 @@
 	pullTimeout = 700 * time.Millisecond
 	// peersPerRound bounds the pulls of a round, so that the cost of an instance does not grow with the fleet.
 	peersPerRound = 6
+	// fullRounds is the number of rounds after which a peer is asked for the list of instances, which is long.
+	fullRounds = 16
+	// lostAfter is the time after which a peer that does not answer no longer counts.
+	lostAfter = 10 * time.Second
 )
 
-// Fetch pulls the state of a peer. Have is the configuration version that the caller holds; servers asks for the list.
-type Fetch func(ctx context.Context, address string, have int64, servers bool) (api.GatewayState, error)
+// Query is what a pull asks for.
+type Query struct {
+	// From is the instance that pulls.
+	From api.GatewayInstance
+	// Have is the configuration version that it holds.
+	Have int64
+	// Full asks for instances and servers.
+	Full bool
+}
+
+// Fetch pulls the state of a peer.
+type Fetch func(ctx context.Context, address string, query Query) (api.GatewayState, error)
 
 // Options of an Exchange. All fields are required.
 type Options struct {
@@ -53,12 +68,16 @@
 
 	mu    *lockorder.Mutex
 	peers map[string]string
-	lost  map[string]bool
+	// lost holds since when a peer has not answered.
+	lost map[string]time.Time
+	// most is the largest number of instances known at once. An instance that hears no other still shares with them.
+	most   int
+	rounds int
 }
 
 // New returns an exchange that knows the seeds only.
 func New(options Options) *Exchange {
-	return &Exchange{Options: options, mu: lockorder.New(lockorder.RankPeers), peers: map[string]string{}, lost: map[string]bool{}}
+	return &Exchange{Options: options, mu: lockorder.New(lockorder.RankPeers), peers: map[string]string{}, lost: map[string]time.Time{}}
 }
 
 // Instances returns the number of instances, this one included.
@@ -68,25 +87,42 @@
 	return 1 + len(e.peers)
 }
 
+// MostInstances returns the largest number of instances that was known at once.
+func (e *Exchange) MostInstances() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return max(1, e.most)
+}
+
+// Rank returns the place of this instance among all in an order that depends on the duty. The first one does it; the others
+// step in later, one after the other.
+func (e *Exchange) Rank(duty string) int {
+	e.mu.Lock()
+	addresses := make([]string, 0, len(e.peers)+1)
+	for address := range e.peers {
+		if e.lost[address].IsZero() {
+			addresses = append(addresses, address)
+		}
+	}
+	e.mu.Unlock()
+	addresses = append(addresses, e.Address)
+	rendezvous.Sort(duty, addresses)
+	return slices.Index(addresses, e.Address)
+}
+
 // Put records a peer and reports whether it is new.
 func (e *Exchange) Put(instance api.GatewayInstance) bool {
-	if instance.PeerAddress == e.Address {
+	if instance.PeerAddress == e.Address || instance.PeerAddress == "" {
 		return false
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	known := e.peers[instance.PeerAddress] == instance.Incarnation
 	e.peers[instance.PeerAddress] = instance.Incarnation
+	e.most = max(e.most, 1+len(e.peers))
 	return !known
 }
 
-// Remove forgets a peer that left.
-func (e *Exchange) Remove(address string) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	delete(e.peers, address)
-}
-
 // targets returns the peers of one round in random order.
 func (e *Exchange) targets() []string {
 	e.mu.Lock()
@@ -108,10 +144,16 @@
 func (e *Exchange) Round(ctx context.Context) error {
 	away := e.Away(time.Now())
 	targets := e.targets()
+	e.rounds++
+	query := Query{
+		From: api.GatewayInstance{PeerAddress: e.Address, Incarnation: e.Incarnation},
+		Have: e.Configurations.Version(),
+		Full: away || e.rounds%fullRounds == 0,
+	}
 	done := make(chan struct{}, len(targets))
 	for _, address := range targets {
 		go func() {
-			e.pull(ctx, address, away)
+			e.pull(ctx, address, query, away)
 			done <- struct{}{}
 		}()
 	}
@@ -121,27 +163,35 @@
 	return nil
 }
 
-func (e *Exchange) pull(ctx context.Context, address string, away bool) {
+func (e *Exchange) pull(ctx context.Context, address string, query Query, away bool) {
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
-	state, err := e.Fetch(ctx, address, e.Configurations.Version(), away)
-	e.reached(address, err)
+	state, err := e.Fetch(ctx, address, query)
+	e.reached(address, err, time.Now())
 	if err != nil {
 		return
 	}
 	e.merge(address, state, away, time.Now())
 }
 
-// reached logs a peer once when it stops and once when it starts answering.
-func (e *Exchange) reached(address string, err error) {
+// reached logs a peer once when it stops and once when it starts answering, and forgets one that stays away.
+func (e *Exchange) reached(address string, err error, now time.Time) {
 	e.mu.Lock()
-	before := e.lost[address]
-	e.lost[address] = err != nil
+	since := e.lost[address]
+	switch {
+	case err == nil:
+		delete(e.lost, address)
+	case since.IsZero():
+		e.lost[address] = now
+	case now.Sub(since) > lostAfter:
+		delete(e.lost, address)
+		delete(e.peers, address)
+	}
 	e.mu.Unlock()
 	switch {
-	case err != nil && !before:
+	case err != nil && since.IsZero():
 		e.Log.Warn("peer lost", "peer", address, "error", err.Error())
-	case err == nil && before:
+	case err == nil && !since.IsZero():
 		e.Log.Info("peer regained", "peer", address)
 	}
 }
@@ -178,6 +228,9 @@
 	order := migration.Order{
 		Service: m.Service, Target: m.Target, Revision: m.Revision, Duration: time.Duration(m.DurationMillis) * time.Millisecond,
 	}
+	for _, version := range m.Withdrawn {
+		e.Migrations.Withdraw(m.Service, version)
+	}
 	if order.Target != "" {
 		e.Migrations.Order(order, time.Duration(m.AgeMillis)*time.Millisecond, now)
 	}
@@ -203,9 +256,14 @@
 }
 
 // State returns what a peer may pull.
-func (e *Exchange) State(have int64, servers bool) api.GatewayState {
+func (e *Exchange) State(query Query) api.GatewayState {
 	now := time.Now()
-	state := api.GatewayState{Incarnation: e.Incarnation, Instances: e.instances()}
+	e.Put(query.From)
+	have := query.Have
+	state := api.GatewayState{Incarnation: e.Incarnation}
+	if query.Full {
+		state.Instances = e.instances()
+	}
 	if c := e.Configurations.Current(); c != nil {
 		state.ConfigurationVersion = c.Version
 		if c.Version > have {
@@ -217,6 +275,7 @@
 			Service: cmp.Or(view.Order.Service, view.Status.Service), Target: view.Order.Target, DurationMillis: view.Order.Duration.Milliseconds(),
 			Revision: view.Order.Revision, AgeMillis: view.Age.Milliseconds(), Suspect: view.Suspect,
 			State: string(view.Status.State), StateTarget: view.Status.Target, StateRevision: view.Status.Revision,
+			Withdrawn: view.Withdrawn,
 		})
 	}
 	for key, count := range e.Migrations.Own() {
@@ -227,7 +286,7 @@
 	for id, load := range e.Directory.Loads() {
 		state.Loads = append(state.Loads, api.GatewayLoad{Server: id, Running: load.Running, PendingTokens: load.PendingTokens})
 	}
-	if servers && !e.Away(now) {
+	if query.Full && !e.Away(now) {
 		state.ServersKnown = e.Directory.Known()
 		state.Servers = e.servers()
 	}
--- a/internal/migration/decide.go
+++ b/internal/migration/decide.go
@@ -1,6 +1,9 @@
 package migration
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Decision is a state that should be recorded for a service.
 type Decision struct {
@@ -11,6 +14,9 @@
 	Fresh Count
 	Old   Count
 	Part  float64
+	// Order is the order that the decision is about, and Age the time since it was given.
+	Order Order
+	Age   time.Duration
 }
 
 // Decide returns the states that should be recorded now. A version found bad is avoided at once, before it is recorded.
@@ -34,7 +40,9 @@
 	if bad {
 		r.suspect = true
 	}
-	decision := Decision{Previous: r.status.Revision, Fresh: fresh, Old: old, Part: r.part(now)}
+	decision := Decision{
+		Previous: r.status.Revision, Fresh: fresh, Old: old, Part: r.part(now), Order: r.order, Age: now.Sub(r.started),
+	}
 	decision.Status = Status{Service: service, Target: r.order.Target, State: StateRunning}
 	switch {
 	case r.suspect:
@@ -99,6 +107,8 @@
 	Status  Status
 	Age     time.Duration
 	Suspect bool
+	// Withdrawn are the targets of earlier orders that were rolled back.
+	Withdrawn []string
 }
 
 // Views returns a copy of all migrations.
@@ -107,7 +117,7 @@
 	defer t.mu.Unlock()
 	views := make([]View, 0, len(t.rows))
 	for _, r := range t.rows {
-		views = append(views, View{Order: r.order, Status: r.status, Age: now.Sub(r.started), Suspect: r.suspect})
+		views = append(views, View{Order: r.order, Status: r.status, Age: now.Sub(r.started), Suspect: r.suspect, Withdrawn: slices.Clone(r.withdrawn)})
 	}
 	return views
 }
--- a/internal/migration/table.go
+++ b/internal/migration/table.go
@@ -29,6 +29,14 @@
 	own   map[Key]Count
 	means map[Key]time.Duration
 	peers map[string]map[Key]Count
+	// starts holds what was recorded of an order's start before the order itself was seen.
+	starts map[string]start
+}
+
+// start is when an order was given.
+type start struct {
+	revision int64
+	at       time.Time
 }
 
 // NewTable returns an empty table.
@@ -39,6 +47,8 @@
 		own:   map[Key]Count{},
 		means: map[Key]time.Duration{},
 		peers: map[string]map[Key]Count{},
+
+		starts: map[string]start{},
 	}
 }
 
@@ -56,6 +66,9 @@
 		fresh.status = r.status
 		fresh.withdrawn = r.withdrawnTargets(order.Target)
 	}
+	if recorded := t.starts[order.Service]; recorded.revision == order.Revision {
+		fresh.begun(recorded.revision, recorded.at)
+	}
 	t.rows[order.Service] = fresh
 	t.forget(order.Service)
 	return true
@@ -81,8 +94,12 @@
 func (t *Table) Begun(service string, revision int64, age time.Duration, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	begun := start{revision: revision, at: now.Add(-age)}
 	if r, ok := t.rows[service]; ok {
-		r.begun(revision, now.Add(-age))
+		r.begun(begun.revision, begun.at)
+	}
+	if t.starts[service].revision <= revision {
+		t.starts[service] = begun
 	}
 }
 
--- a/internal/retry/shared.go
+++ b/internal/retry/shared.go
@@ -22,6 +22,8 @@
 	Slack float64
 	// Window is the length of the sliding window.
 	Window time.Duration
+	// Instances returns the number of instances that share the slack.
+	Instances func() int
 }
 
 type sharedSlot struct {
@@ -37,8 +39,7 @@
 type SharedBudget struct {
 	options SharedOptions
 
-	mu        *lockorder.Mutex
-	instances int
+	mu *lockorder.Mutex
 	// start is the origin of the slots; differences to it are steady while the time of day steps.
 	start time.Time
 	rows  map[string]*sharedRow
@@ -46,22 +47,14 @@
 
 // NewSharedBudget returns a budget without requests for one instance.
 func NewSharedBudget(options SharedOptions) *SharedBudget {
-	return &SharedBudget{options: options, mu: lockorder.New(lockorder.RankRetryBudgets), instances: 1, rows: map[string]*sharedRow{}}
+	return &SharedBudget{options: options, mu: lockorder.New(lockorder.RankRetryBudgets), rows: map[string]*sharedRow{}}
 }
 
-// Instances sets the number of instances that share the slack.
-func (b *SharedBudget) Instances(n int) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.instances = max(1, n)
-}
-
-// Change replaces the terms. The window's length stays, because the counts are kept in its slots.
+// Change replaces ratio and slack. The window's length stays, because the counts are kept in its slots.
 func (b *SharedBudget) Change(options SharedOptions) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	options.Window = b.options.Window
-	b.options = options
+	b.options.Ratio, b.options.Slack = options.Ratio, options.Slack
 }
 
 // Request counts a new request for the service.
@@ -74,11 +67,12 @@
 // Spend takes one extra arrival and returns false if the budget has none left. Use is the part of the budget that this
 // caller may reach, from 0 to 1, so that useful but optional attempts leave room for necessary ones.
 func (b *SharedBudget) Spend(service string, use float64, now time.Time) bool {
+	instances := max(1, b.options.Instances())
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	current := b.slot(service, now)
 	requests, extra := b.sum(service, now)
-	allowed := sharedMargin*b.options.Ratio*float64(requests) + b.options.Slack/float64(b.instances)
+	allowed := sharedMargin*b.options.Ratio*float64(requests) + b.options.Slack/float64(instances)
 	if float64(extra+1) > use*allowed {
 		return false
 	}
--- a/internal/routing/gateway.go
+++ b/internal/routing/gateway.go
@@ -52,7 +52,12 @@
 // Score implements Scorer.
 func (PromptScorer) Score(c *Candidate, r *Request, _ time.Time) time.Duration {
 	tokens := max(0, r.PromptTokens-c.CachedTokens) + c.PendingTokens
-	return time.Duration(tokens)*time.Millisecond/prefillTokensPerMilli + time.Duration(c.InFlight+c.OtherInFlight)*runDelay
+	running := c.InFlight + c.OtherInFlight
+	delay := time.Duration(tokens)*time.Millisecond/prefillTokensPerMilli + time.Duration(running)*runDelay
+	if waiting := running + 1 - c.Slots; c.Slots > 0 && waiting > 0 {
+		delay += queueDelay * time.Duration(waiting) / time.Duration(c.Slots)
+	}
+	return delay
 }
 
 // AnswerScorer estimates the time of a plain answer from the server's recent answers and the places that are taken.
--- a/internal/rowfeed/rowfeed.go
+++ b/internal/rowfeed/rowfeed.go
@@ -67,10 +67,7 @@
 
 // Follower follows one table. Its steps run one after the other.
 type Follower struct {
-	table  string
-	source Source
-	handle func(Batch)
-	log    *slog.Logger
+	Options
 
 	version int64
 	known   bool
@@ -82,22 +79,30 @@
 	heard    time.Time
 }
 
-// New returns a follower that hands each batch to the function.
-func New(table string, source Source, handle func(Batch), log *slog.Logger) *Follower {
-	return &Follower{table: table, source: source, handle: handle, log: log, mu: lockorder.New(lockorder.RankLeases)}
+// Options of a Follower. All fields are required.
+type Options struct {
+	Table  string
+	Source Source
+	// Handle takes each batch.
+	Handle func(Batch)
+	// Settle is the pause after a change, in which further changes gather; each call of the store has a price.
+	Settle time.Duration
+	Log    *slog.Logger
 }
 
-// Table returns the name of the table.
-func (f *Follower) Table() string { return f.table }
+// New returns a follower that has read nothing yet.
+func New(options Options) *Follower {
+	return &Follower{Options: options, mu: lockorder.New(lockorder.RankLeases)}
+}
 
 // Step makes one call. It is the run of a periodic duty whose interval is Pause.
 func (f *Follower) Step(ctx context.Context) error {
 	if !f.known {
 		return f.read(ctx)
 	}
-	page, err := f.source.Changes(ctx, f.table, f.version, Wait)
+	page, err := f.Source.Changes(ctx, f.Table, f.version, Wait)
 	if errors.Is(err, ErrHistoryGone) {
-		f.log.Warn("history of the table is gone, reading it in full", "table", f.table, "version", f.version)
+		f.Log.Warn("history of the table is gone, reading it in full", "table", f.Table, "version", f.version)
 		f.known = false
 		return f.read(ctx)
 	}
@@ -110,7 +115,7 @@
 }
 
 func (f *Follower) read(ctx context.Context) error {
-	page, err := f.source.Read(ctx, f.table)
+	page, err := f.Source.Read(ctx, f.Table)
 	if err != nil {
 		f.failed(ctx, err)
 		return nil
@@ -123,7 +128,7 @@
 func (f *Follower) deliver(page Page, complete bool) {
 	f.version = max(f.version, page.Version)
 	returned := f.answered()
-	f.handle(Batch{Complete: complete, Rows: page.Rows, Clock: page.Clock, Returned: returned})
+	f.Handle(Batch{Complete: complete, Rows: page.Rows, Clock: page.Clock, Returned: returned})
 }
 
 // answered records an answer and returns when the store came back last.
@@ -139,7 +144,7 @@
 	returned, failedAt := f.returned, f.failedAt
 	f.mu.Unlock()
 	if back {
-		f.log.Info("store regained", "table", f.table, "away_ms", now.Sub(failedAt).Milliseconds())
+		f.Log.Info("store regained", "table", f.Table, "away_ms", now.Sub(failedAt).Milliseconds())
 	}
 	return returned
 }
@@ -156,7 +161,7 @@
 	}
 	f.mu.Unlock()
 	if first {
-		f.log.Warn("store lost", "table", f.table, "version", f.version, "error", err.Error())
+		f.Log.Warn("store lost", "table", f.Table, "version", f.version, "error", err.Error())
 	}
 }
 
@@ -165,7 +170,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.failures == 0 {
-		return 0
+		return f.Settle
 	}
 	return min(retryMax, retryFirst<<min(f.failures-1, 5))
 }
--- a/internal/server/gatewayhttp/gatewayhttp.go
+++ b/internal/server/gatewayhttp/gatewayhttp.go
@@ -9,12 +9,14 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
 	"strconv"
 
 	"github.com/labstack/echo/v4"
 	"github.com/pkg/errors"
 
 	"github.com/cicadawall/cicadawall/internal/api"
+	"github.com/cicadawall/cicadawall/internal/exchange"
 	"github.com/cicadawall/cicadawall/internal/httpconn"
 	"github.com/cicadawall/cicadawall/internal/server/httperr"
 	"github.com/cicadawall/cicadawall/internal/telemetry"
@@ -48,14 +50,15 @@
 }
 
 // Peers returns the handler of the peers' address.
-func Peers(state func(have int64, servers bool) api.GatewayState, metrics *telemetry.Metrics) http.Handler {
+func Peers(state func(exchange.Query) api.GatewayState, metrics *telemetry.Metrics) http.Handler {
 	e := newEcho()
 	e.GET(statePath, func(c echo.Context) error {
 		have, err := strconv.ParseInt(c.QueryParam("have"), 10, 64)
 		if err != nil {
 			return echo.NewHTTPError(http.StatusBadRequest, "have is not a version")
 		}
-		return c.JSON(http.StatusOK, state(have, c.QueryParam("servers") != ""))
+		from := api.GatewayInstance{PeerAddress: c.QueryParam("address"), Incarnation: c.QueryParam("incarnation")}
+		return c.JSON(http.StatusOK, state(exchange.Query{From: from, Have: have, Full: c.QueryParam("full") != ""}))
 	})
 	e.GET(MetricsPath, func(c echo.Context) error {
 		c.Response().Header().Set(echo.HeaderContentType, "text/plain; version=0.0.4")
@@ -72,11 +75,12 @@
 func NewClient() *Client { return &Client{pool: httpconn.NewPool(httpconn.Options{})} }
 
 // Fetch implements exchange.Fetch.
-func (c *Client) Fetch(ctx context.Context, address string, have int64, servers bool) (api.GatewayState, error) {
+func (c *Client) Fetch(ctx context.Context, address string, query exchange.Query) (api.GatewayState, error) {
 	var state api.GatewayState
-	target := fmt.Sprintf("%s?have=%d", statePath, have)
-	if servers {
-		target += "&servers=1"
+	target := fmt.Sprintf("%s?have=%d&address=%s&incarnation=%s", statePath, query.Have,
+		url.QueryEscape(query.From.PeerAddress), url.QueryEscape(query.From.Incarnation))
+	if query.Full {
+		target += "&full=1"
 	}
 	var head bytes.Buffer
 	fmt.Fprintf(&head, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", target, address)
