--- a/internal/gateway/models.go
+++ b/internal/gateway/models.go
@@ -12,7 +12,7 @@
 const (
 	// acceptConfidence is the confidence from which the answer of a smaller model is taken. Confidence is 50 where a model is
 	// as likely right as wrong; a wrong answer costs more than another run.
-	acceptConfidence = 60
+	acceptConfidence = 55
 	// escalationBudget is the part of the retry budget that escalations may use; the rest is left for failures.
 	escalationBudget = 0.92
 	// decodeTokens is the work of one generated token in prompt tokens. A prompt is read in large chunks, an answer token by
--- a/internal/routing/gateway.go
+++ b/internal/routing/gateway.go
@@ -10,6 +10,8 @@
 	// prefillTokensPerMilli converts prompt tokens into time. Only its ratio to the other scorers matters: it is the order of
 	// magnitude of a current accelerator with a large model.
 	prefillTokensPerMilli = 20
+	// rereadWeight is charged for tokens that the server does not hold: reading them delays this request and those that run.
+	rereadWeight = 2
 	// runDelay is the delay that each request running in a batch adds to the first token of the next.
 	runDelay = 15 * time.Millisecond
 	// failureDelay is the delay of a server at which every attempt fails: an attempt, its detection and another attempt.
@@ -51,7 +53,7 @@
 
 // Score implements Scorer.
 func (PromptScorer) Score(c *Candidate, r *Request, _ time.Time) time.Duration {
-	tokens := max(0, r.PromptTokens-c.CachedTokens) + c.PendingTokens
+	tokens := rereadWeight*max(0, r.PromptTokens-c.CachedTokens) + c.PendingTokens
 	running := c.InFlight + c.OtherInFlight
 	delay := time.Duration(tokens)*time.Millisecond/prefillTokensPerMilli + time.Duration(running)*runDelay
 	if waiting := running + 1 - c.Slots; c.Slots > 0 && waiting > 0 {
