Bound the exposure of a version by schedule; survive a silent store

Reads now end after 1.5 s, waits are drawn around 0.8 s for each instance, and the newest row version that a peer has seen ends a call that hangs. The share now stays within two thirds of the allowed exposure whatever is seen, and slowness is measured up to the first event, for both versions.

--- a/internal/api/peer.gen.go
+++ b/internal/api/peer.gen.go
@@ -189,7 +189,7 @@
 type GatewayCount struct {
 	Answers int    `json:"answers" yaml:"answers"`
 	Bad     int    `json:"bad,omitempty" yaml:"bad,omitempty"`
-	Route   string `json:"route" yaml:"route"`
+	Class   string `json:"class" yaml:"class"`
 	Service string `json:"service" yaml:"service"`
 	Slow    int    `json:"slow,omitempty" yaml:"slow,omitempty"`
 	Version string `json:"version" yaml:"version"`
@@ -266,11 +266,17 @@
 	Loads      []GatewayLoad      `json:"loads,omitempty" yaml:"loads,omitempty"`
 	Migrations []GatewayMigration `json:"migrations,omitempty" yaml:"migrations,omitempty"`
 
+	// OperatorRow Newest row version of the operator's table that the sender has seen.
+	OperatorRow int64 `json:"operatorRow,omitempty" yaml:"operatorRow,omitempty"`
+
 	// Servers Backend servers, if query parameter full is set.
 	Servers []GatewayServer `json:"servers,omitempty" yaml:"servers,omitempty"`
 
 	// ServersKnown Whether servers is a complete list.
 	ServersKnown bool `json:"serversKnown,omitempty" yaml:"serversKnown,omitempty"`
+
+	// ServersRow Newest row version of the servers' table that the sender has seen.
+	ServersRow int64 `json:"serversRow,omitempty" yaml:"serversRow,omitempty"`
 }
 
 // HeldVersion defines model for HeldVersion.
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -16,6 +16,7 @@
 	"github.com/cicadawall/cicadawall/internal/lockorder"
 	"github.com/cicadawall/cicadawall/internal/migration"
 	"github.com/cicadawall/cicadawall/internal/rendezvous"
+	"github.com/cicadawall/cicadawall/internal/rowfeed"
 )
 
 const (
@@ -57,6 +58,9 @@
 	// Adopt puts a pulled configuration in force.
 	Adopt func(document []byte, source string)
 	Fetch Fetch
+	// Operator and Servers follow the store; what peers have seen of it is a hint to them.
+	Operator *rowfeed.Follower
+	Servers  *rowfeed.Follower
 	// Away reports whether the store does not answer this instance.
 	Away func(now time.Time) bool
 	Log  *slog.Logger
@@ -205,12 +209,14 @@
 	if len(state.Configuration) > 0 && state.ConfigurationVersion > e.Configurations.Version() {
 		e.Adopt(state.Configuration, address)
 	}
+	e.Operator.Hint(state.OperatorRow, now)
+	e.Servers.Hint(state.ServersRow, now)
 	for _, m := range state.Migrations {
 		e.mergeMigration(m, now)
 	}
 	counts := make(map[migration.Key]migration.Count, len(state.Counts))
 	for _, c := range state.Counts {
-		key := migration.Key{Service: c.Service, Version: c.Version, Route: c.Route}
+		key := migration.Key{Service: c.Service, Version: c.Version, Class: c.Class}
 		counts[key] = migration.Count{Answers: c.Answers, Bad: c.Bad, Slow: c.Slow}
 	}
 	e.Migrations.Peer(state.Incarnation, counts)
@@ -260,7 +266,7 @@
 	now := time.Now()
 	e.Put(query.From)
 	have := query.Have
-	state := api.GatewayState{Incarnation: e.Incarnation}
+	state := api.GatewayState{Incarnation: e.Incarnation, OperatorRow: e.Operator.LastRow(), ServersRow: e.Servers.LastRow()}
 	if query.Full {
 		state.Instances = e.instances()
 	}
@@ -280,7 +286,7 @@
 	}
 	for key, count := range e.Migrations.Own() {
 		state.Counts = append(state.Counts, api.GatewayCount{
-			Service: key.Service, Version: key.Version, Route: key.Route, Answers: count.Answers, Bad: count.Bad, Slow: count.Slow,
+			Service: key.Service, Version: key.Version, Class: key.Class, Answers: count.Answers, Bad: count.Bad, Slow: count.Slow,
 		})
 	}
 	for id, load := range e.Directory.Loads() {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -31,8 +31,8 @@
 type Versions interface {
 	// Choose returns the version that takes a session's request; sessionless requests belong to no session.
 	Choose(service, session string, sessionless bool, now time.Time) migration.Preference
-	// Observe records an answer of a version.
-	Observe(service, version, route string, bad bool, took time.Duration)
+	// Observe records an answer of a version to a class of requests, with the time until it began.
+	Observe(service, version, class string, bad bool, took time.Duration)
 }
 
 // Options of a Gateway. All fields are required.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -66,6 +66,9 @@
 	began bool
 	// last is the last event that the caller has.
 	last string
+	// attemptAt is the start of the attempt, answerAt that of its answer.
+	attemptAt time.Time
+	answerAt  time.Time
 	// first is the time to the first event, pause the longest time between two.
 	first   time.Duration
 	pause   time.Duration
@@ -114,6 +117,7 @@
 	ctx, cancel := context.WithCancelCause(r.ctx)
 	defer cancel(nil)
 	stopPatience := r.limitAttempt(cancel)
+	r.attemptAt, r.answerAt = time.Now(), time.Time{}
 	reply, err := r.gateway.Backends.Send(ctx, r.encode(server))
 	if err != nil {
 		stopPatience()
@@ -129,6 +133,7 @@
 		return r.failed(server, reply)
 	case VerdictSuccess:
 	}
+	r.answerAt = time.Now()
 	if reply.Events {
 		stopPatience()
 		return r.relay(server, reply, cancel)
@@ -325,8 +330,13 @@
 	return false
 }
 
+// observe counts an attempt for the server's version. Requests of a route that run on one model take similar times.
 func (r *run) observe(server *backend.Run, bad bool) {
-	r.gateway.Versions.Observe(r.service.Name, server.Entry.Software, r.route.Name, bad, time.Since(r.request.Arrived))
+	began := r.answerAt
+	if began.IsZero() {
+		began = time.Now()
+	}
+	r.gateway.Versions.Observe(r.service.Name, server.Entry.Software, r.route.Name+"/"+r.model, bad, began.Sub(r.attemptAt))
 }
 
 // log writes one decision on the request.
--- a/internal/migration/decide.go
+++ b/internal/migration/decide.go
@@ -47,7 +47,7 @@
 	switch {
 	case r.suspect:
 		decision.Status.State = StateRolledBack
-	case decision.Part >= completeAt:
+	case t.schedule.complete(decision.Part):
 		decision.Status.State = StateCompleted
 	case r.recorded():
 		return Decision{}, false
@@ -55,7 +55,7 @@
 	return decision, true
 }
 
-// compare sums the evidence of all instances and tests it, as a whole and for each route.
+// compare sums the evidence of all instances and tests it, as a whole and for each class.
 func (t *Table) compare(service, target string) (fresh, old Count, bad bool) {
 	freshBy, oldBy := map[string]Count{}, map[string]Count{}
 	add := func(counts map[Key]Count) {
@@ -64,11 +64,11 @@
 				continue
 			}
 			if key.Version == target {
-				freshBy[key.Route] = freshBy[key.Route].plus(count)
+				freshBy[key.Class] = freshBy[key.Class].plus(count)
 				fresh = fresh.plus(count)
 				continue
 			}
-			oldBy[key.Route] = oldBy[key.Route].plus(count)
+			oldBy[key.Class] = oldBy[key.Class].plus(count)
 			old = old.plus(count)
 		}
 	}
@@ -77,8 +77,8 @@
 		add(counts)
 	}
 	bad = Worse(fresh, old)
-	for route, count := range freshBy {
-		bad = bad || Worse(count, oldBy[route])
+	for class, count := range freshBy {
+		bad = bad || Worse(count, oldBy[class])
 	}
 	return fresh, old, bad
 }
--- a/internal/migration/evidence.go
+++ b/internal/migration/evidence.go
@@ -21,7 +21,7 @@
 	meanWeight = 0.05
 )
 
-// Count is what one version answered on one route.
+// Count is what one version answered to one class of requests.
 type Count struct {
 	Answers int
 	Bad     int
--- a/internal/migration/migration.go
+++ b/internal/migration/migration.go
@@ -41,42 +41,49 @@
 	Revision int64
 }
 
+// The share of the new version follows from the exposure that the platform allows to a bad one, as a part of all requests
+// between the order and its deadline. A version may hide its faults until it has load, so the share keeps within two
+// thirds of that even if nothing bad is seen; a burst at the end takes the rest.
 const (
-	// earlyShare is the share of requests without a session on the new version during the first half. Sessions must keep
-	// their version until then, and no instance knows what a session ran on elsewhere.
-	earlyShare = 0.06
-	// trialShare is the share of the sessions on the new version at the start of the second half. A bad version must get far
-	// less than the platform's bound on its exposure, 0.1 to 0.15 of all requests, and enough to be told from a good one.
-	trialShare = 0.12
-	// trialStart, rampStart and rampEnd are the parts of the duration at which sessions start to move, at which the share
-	// starts to rise, and at which it is 1. Requests on the old version need the rest to end.
+	// trialPart is the part of the exposure that is spent before the rise.
+	trialPart = 0.15
+	// riseFrom, riseTo and completeAt are the distances from the deadline, in exposures, at which the share starts to rise,
+	// at which it is 1, and at which the old version may end.
+	riseFrom   = 0.7
+	riseTo     = 0.35
+	completeAt = 0.2
+	// trialStart is the part of the duration at which the first sessions move; until its half they must not.
 	trialStart = 0.51
-	rampStart  = 0.66
-	rampEnd    = 0.80
-	// completeAt is the part of the duration after which the old version may end.
-	completeAt = 0.93
-	// earlyStart is the wait before the first request, in which the new servers register at all instances.
+	// earlyStart is the part of the duration at which requests without a session start to move. Until then the new servers
+	// register at all instances.
 	earlyStart = 0.04
 )
 
-// shareAt returns the share of the sessions on the new version at a part of the duration.
-func shareAt(part float64, sessionless bool) float64 {
+// schedule gives the share of the new version for an exposure between 0 and 1.
+type schedule struct{ exposure float64 }
+
+// share returns the share of the sessions on the new version at a part of the duration.
+func (s schedule) share(part float64, sessionless bool) float64 {
+	start := trialStart
+	if sessionless {
+		start = earlyStart
+	}
+	from, to := 1-riseFrom*s.exposure, 1-riseTo*s.exposure
+	trial := trialPart * s.exposure / max(0.1, from-start)
 	switch {
-	case part < earlyStart || part < trialStart && !sessionless:
+	case part < start:
 		return 0
-	case part < trialStart:
-		return earlyShare
-	case part < rampStart:
-		return trialShare
-	case part < rampEnd:
-		// A slow start of the rise keeps the exposure of a version that turns bad late small.
-		return trialShare + (1-trialShare)*square((part-rampStart)/(rampEnd-rampStart))
+	case part < from:
+		return trial
+	case part < to:
+		return trial + (1-trial)*(part-from)/(to-from)
 	default:
 		return 1
 	}
 }
 
-func square(x float64) float64 { return x * x }
+// complete reports whether the old version may end.
+func (s schedule) complete(part float64) bool { return part >= 1-completeAt*s.exposure }
 
 // Preference says which version takes a request while a service is moved.
 type Preference struct {
--- a/internal/migration/migration_test.go
+++ b/internal/migration/migration_test.go
@@ -18,7 +18,7 @@
 // Guards against a rolled-back version that takes requests again once the next version is ordered, while its servers are
 // still there (hunt mix --seed 552977440078, PINNED).
 func TestRolledBackVersionStaysWithdrawn(t *testing.T) {
-	table := NewTable()
+	table := NewTable(0.15)
 	table.Order(ordered("v2", 10), 0, origin)
 	table.Recorded(Status{Service: service, Target: "v2", State: StateRolledBack, Revision: 11})
 	table.Order(ordered("v3", 12), 0, origin)
@@ -36,7 +36,7 @@
 
 // Guards against sessions that change their version in the first half, or go back to the old one afterwards.
 func TestSessionsMoveOnceAndLate(t *testing.T) {
-	table := NewTable()
+	table := NewTable(0.15)
 	table.Order(ordered("v2", 10), 0, origin)
 	for i := range 200 {
 		session := "session-" + strconv.Itoa(i)
@@ -68,7 +68,7 @@
 		{"four in ten fail", func(i int) bool { return i%5 < 2 }, StateRolledBack},
 		{"one in fifty fails", func(i int) bool { return i%50 == 49 }, StateRunning},
 	} {
-		table := NewTable()
+		table := NewTable(0.15)
 		table.Order(ordered("v2", 10), 0, origin)
 		for i := range 400 {
 			table.Observe(service, "v1", "route", i%50 == 0, 100*time.Millisecond)
@@ -93,7 +93,7 @@
 
 // Guards against a version that is slow on one route only and is completed.
 func TestSlowRouteIsFound(t *testing.T) {
-	table := NewTable()
+	table := NewTable(0.15)
 	table.Order(ordered("v2", 10), 0, origin)
 	for range 100 {
 		table.Observe(service, "v1", "a", false, 300*time.Millisecond)
@@ -111,7 +111,7 @@
 
 // Guards against a final record of an earlier order that is taken for the current one of the same version.
 func TestRecordOfEarlierOrderDoesNotCount(t *testing.T) {
-	table := NewTable()
+	table := NewTable(0.15)
 	table.Order(ordered("v2", 10), 0, origin)
 	table.Recorded(Status{Service: service, Target: "v2", State: StateRolledBack, Revision: 11})
 	table.Order(ordered("v2", 20), 0, origin)
@@ -119,3 +119,24 @@
 		t.Errorf("the second order does not move the session: %+v", p)
 	}
 }
+
+// Guards against a version whose faults show only under full load and that gets more requests than the platform allows to a
+// bad one, also when the load rises by 70% in the last quarter (day bad-version-slow, EXPOSURE).
+func TestHiddenFaultStaysWithinExposure(t *testing.T) {
+	const steps = 1000
+	for _, exposure := range []float64{0.05, 0.0975, 0.15, 0.3} {
+		exposed, all := 0.0, 0.0
+		for i := range steps {
+			part := float64(i) / steps
+			load := 1.0
+			if part > 0.75 {
+				load = 1.7
+			}
+			exposed += load * (schedule{exposure}).share(part, false)
+			all += load
+		}
+		if exposed > exposure*all {
+			t.Errorf("exposure %.4f of %.4f", exposed/all, exposure)
+		}
+	}
+}
--- a/internal/migration/table.go
+++ b/internal/migration/table.go
@@ -7,8 +7,8 @@
 	"github.com/cicadawall/cicadawall/internal/lockorder"
 )
 
-// Key names the counter of one version on one route.
-type Key struct{ Service, Version, Route string }
+// Key names the counter of one version on requests of one class.
+type Key struct{ Service, Version, Class string }
 
 // row is one service's migration.
 type row struct {
@@ -24,6 +24,8 @@
 
 // Table holds the migrations and the evidence on versions. It is safe for concurrent use.
 type Table struct {
+	schedule schedule
+
 	mu    *lockorder.Mutex
 	rows  map[string]*row
 	own   map[Key]Count
@@ -39,9 +41,11 @@
 	at       time.Time
 }
 
-// NewTable returns an empty table.
-func NewTable() *Table {
+// NewTable returns an empty table. Exposure is the part of the requests that a bad version may get.
+func NewTable(exposure float64) *Table {
 	return &Table{
+		schedule: schedule{exposure: exposure},
+
 		mu:    lockorder.New(lockorder.RankVersions),
 		rows:  map[string]*row{},
 		own:   map[Key]Count{},
@@ -108,7 +112,6 @@
 	for key := range t.own {
 		if key.Service == service {
 			delete(t.own, key)
-			delete(t.means, key)
 		}
 	}
 	for _, counts := range t.peers {
@@ -171,7 +174,7 @@
 	part := r.part(now)
 	switch state := r.state(); {
 	case state == StateRolledBack:
-	case state == StateCompleted || position(service, target, session) < shareAt(part, sessionless):
+	case state == StateCompleted || position(service, target, session) < t.schedule.share(part, sessionless):
 		preference.Use = target
 	case part < trialStart:
 		preference.Withdrawn = append(preference.Withdrawn, target)
@@ -202,32 +205,33 @@
 	}
 }
 
-// Observe records an answer of a version.
-func (t *Table) Observe(service, version, route string, bad bool, took time.Duration) {
+// Observe records an answer of a version, with the time until it began. Class names requests of similar length.
+func (t *Table) Observe(service, version, class string, bad bool, took time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r, ok := t.rows[service]
 	if !ok {
 		return
 	}
-	target := r.order.Target
-	key := Key{Service: service, Version: version, Route: route}
+	key := Key{Service: service, Version: version, Class: class}
+	mean := Key{Service: service, Class: class}
 	count := t.own[key]
 	count.Answers++
-	if bad {
+	switch {
+	case bad:
 		count.Bad++
-	} else if version == target && t.slow(key, took) {
+	case t.slow(mean, took):
 		count.Slow++
 	}
 	t.own[key] = count
-	if !bad && version != target {
-		t.learn(Key{Service: service, Route: route}, took)
+	if !bad && version != r.order.Target {
+		t.learn(mean, took)
 	}
 }
 
-// slow compares an answer of the target with the mean of the other versions.
+// slow compares an answer with the mean of the versions that are not being brought in.
 func (t *Table) slow(key Key, took time.Duration) bool {
-	mean, ok := t.means[Key{Service: key.Service, Route: key.Route}]
+	mean, ok := t.means[key]
 	return ok && took > slowFloor && took > slowFactor*mean
 }
 
--- a/internal/rowfeed/rowfeed.go
+++ b/internal/rowfeed/rowfeed.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"time"
 
 	"github.com/pkg/errors"
@@ -16,12 +17,20 @@
 var ErrHistoryGone = errors.New("the store has dropped the history of the table")
 
 const (
-	// Wait is how long the store holds a request for changes. Longer waits cost fewer calls; the store allows 30 s.
-	Wait = 25 * time.Second
+	// waitMax is the longest time for which the store is asked to hold a request for changes; it allows 30 s.
+	waitMax = 25 * time.Second
+	// waitMin and waitShare give the mean wait, which grows with the number of instances. A request whose answer was lost
+	// hangs until its wait ends; one of the others ends before and tells its peers.
+	waitMin   = 3 * time.Second
+	waitShare = 800 * time.Millisecond
+	// readTimeout bounds a full read, which the store answers at once.
+	readTimeout = 1500 * time.Millisecond
+	// hintPatience is how long a follower waits for a change that a peer has seen.
+	hintPatience = 900 * time.Millisecond
 	// waitMargin is the time beyond the wait after which an answer is not expected any more.
 	waitMargin = 3 * time.Second
 	// StepTimeout bounds one step of a follower.
-	StepTimeout = Wait + waitMargin
+	StepTimeout = waitMax + waitMargin
 	// retryFirst and retryMax are the pauses after failures. Refused calls are priced too; a change must be in force within
 	// 2 s of the store's return at the latest.
 	retryFirst = 200 * time.Millisecond
@@ -77,6 +86,13 @@
 	failedAt time.Time
 	returned time.Time
 	heard    time.Time
+	// lastRow is the newest version among the rows that were handed on.
+	lastRow int64
+	// hinted is the row version that a peer has seen and this follower has not, since hintedAt; zero if there is none.
+	hinted   int64
+	hintedAt time.Time
+	// abandon ends the call that waits for changes; nil while there is none.
+	abandon context.CancelFunc
 }
 
 // Options of a Follower. All fields are required.
@@ -85,6 +101,8 @@
 	Source Source
 	// Handle takes each batch.
 	Handle func(Batch)
+	// Instances returns the number of instances that follow the store.
+	Instances func() int
 	// Settle is the pause after a change, in which further changes gather; each call of the store has a price.
 	Settle time.Duration
 	Log    *slog.Logger
@@ -100,7 +118,11 @@
 	if !f.known {
 		return f.read(ctx)
 	}
-	page, err := f.Source.Changes(ctx, f.Table, f.version, Wait)
+	page, err := f.changes(ctx)
+	if errors.Is(err, context.Canceled) && ctx.Err() == nil {
+		f.Log.Warn("waiting for changes abandoned, a peer has seen some", "table", f.Table, "version", f.version)
+		return nil
+	}
 	if errors.Is(err, ErrHistoryGone) {
 		f.Log.Warn("history of the table is gone, reading it in full", "table", f.Table, "version", f.version)
 		f.known = false
@@ -114,7 +136,58 @@
 	return nil
 }
 
+// changes waits for changes until a hint ends the call.
+func (f *Follower) changes(ctx context.Context) (Page, error) {
+	wait := f.wait()
+	call, cancel := context.WithTimeout(ctx, wait+waitMargin)
+	defer cancel()
+	f.mu.Lock()
+	f.abandon = cancel
+	f.mu.Unlock()
+	page, err := f.Source.Changes(call, f.Table, f.version, wait)
+	f.mu.Lock()
+	f.abandon = nil
+	f.mu.Unlock()
+	if err != nil && errors.Is(call.Err(), context.Canceled) {
+		return page, context.Canceled
+	}
+	return page, err
+}
+
+// wait returns the wait of the next call, drawn so that the calls of the instances end at different times.
+func (f *Follower) wait() time.Duration {
+	mean := min(waitMax, max(waitMin, time.Duration(f.Instances())*waitShare))
+	return min(waitMax, mean/2+rand.N(mean))
+}
+
+// Hint tells the newest row version that a peer has seen. A follower that does not hear of it in time gives up its call,
+// whose connection may be dead without a sign.
+func (f *Follower) Hint(version int64, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if version <= f.lastRow {
+		return
+	}
+	if f.hinted <= f.lastRow {
+		f.hinted, f.hintedAt = version, now
+		return
+	}
+	if now.Sub(f.hintedAt) > hintPatience && f.abandon != nil {
+		f.abandon()
+		f.hinted = 0
+	}
+}
+
+// LastRow returns the newest version among the rows that were handed on.
+func (f *Follower) LastRow() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lastRow
+}
+
 func (f *Follower) read(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
 	page, err := f.Source.Read(ctx, f.Table)
 	if err != nil {
 		f.failed(ctx, err)
@@ -128,6 +201,11 @@
 func (f *Follower) deliver(page Page, complete bool) {
 	f.version = max(f.version, page.Version)
 	returned := f.answered()
+	f.mu.Lock()
+	for _, row := range page.Rows {
+		f.lastRow = max(f.lastRow, row.Version)
+	}
+	f.mu.Unlock()
 	f.Handle(Batch{Complete: complete, Rows: page.Rows, Clock: page.Clock, Returned: returned})
 }
 
