--- a/internal/e2e/process_test.go
+++ b/internal/e2e/process_test.go
@@ -49,6 +49,12 @@
 
 // start runs a binary and ends it with the test.
 func start(t *testing.T, dir, name, binary string, args ...string) *process {
+	t.Helper()
+	return startWith(t, dir, name, nil, binary, args...)
+}
+
+// startWith runs a binary with variables added to the environment.
+func startWith(t *testing.T, dir, name string, environment []string, binary string, args ...string) *process {
 	t.Helper()
 	p := &process{t: t, name: name, log: filepath.Join(dir, name+".log"), done: make(chan struct{})}
 	output, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -57,6 +63,7 @@
 	}
 	p.cmd = exec.Command(filepath.Join(binaries, binary), args...)
 	p.cmd.Stdout, p.cmd.Stderr = output, output
+	p.cmd.Env = append(os.Environ(), environment...)
 	if err := p.cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
