--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -128,7 +128,7 @@
 	if c := d.Candidates(Query{Service: "desk"}, now)[0]; c.OtherInFlight != 8 || c.PendingTokens != 200 {
 		t.Errorf("two of four peers heard: %+v", c)
 	}
-	if c := d.Candidates(Query{Service: "desk"}, now.Add(2 * peerLoadAge))[0]; c.OtherInFlight != 0 {
+	if c := d.Candidates(Query{Service: "desk"}, now.Add(2*peerLoadAge))[0]; c.OtherInFlight != 0 {
 		t.Errorf("old load: %+v", c)
 	}
 }
--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -204,6 +204,7 @@
 		ID:            r.entry.ID,
 		Zone:          r.entry.AvailabilityZone,
 		Leaving:       r.entry.Leaving || r.moved,
+		EjectedUntil:  r.health.ejected,
 		InFlight:      r.inFlight,
 		Software:      r.entry.Software,
 		Slots:         r.entry.Slots,
--- a/internal/backend/health.go
+++ b/internal/backend/health.go
@@ -12,6 +12,10 @@
 	failureHalfLife = 4 * time.Second
 	// answerWeight is the weight of a new answer in the moving average of the answer time.
 	answerWeight = 0.2
+	// ejectFirst and ejectMax are how long a server gets nothing after no connection could be made. A crashed server is back
+	// or off the list within seconds; each try costs a request a round trip.
+	ejectFirst = 500 * time.Millisecond
+	ejectMax   = 2 * time.Second
 )
 
 // health is how a server answered this instance lately.
@@ -19,6 +23,9 @@
 	failures float64
 	at       time.Time
 	answer   time.Duration
+	// ejections counts failed connections in a row; the server gets nothing until ejected.
+	ejections int
+	ejected   time.Time
 }
 
 // rate returns the failure rate, faded since the last attempt.
@@ -38,8 +45,15 @@
 	h.failures, h.at = rate, now
 }
 
+// unreached records that no connection could be made.
+func (h *health) unreached(now time.Time) {
+	h.ejected = now.Add(min(ejectMax, ejectFirst<<min(h.ejections, 4)))
+	h.ejections++
+}
+
 // answered records the time of an answer.
 func (h *health) answered(took time.Duration) {
+	h.ejections, h.ejected = 0, time.Time{}
 	if h.answer == 0 {
 		h.answer = took
 		return
--- a/internal/backend/run.go
+++ b/internal/backend/run.go
@@ -51,6 +51,8 @@
 	ResultGood
 	// ResultBad is a failure, a broken answer or none.
 	ResultBad
+	// ResultUnreachable means that no connection could be made.
+	ResultUnreachable
 	// ResultMoved means that another server answered at the address.
 	ResultMoved
 )
@@ -71,6 +73,8 @@
 		r.row.health.answered(now.Sub(r.started))
 	case ResultBad:
 		r.row.health.observe(true, now)
+	case ResultUnreachable:
+		r.row.health.unreached(now)
 	case ResultMoved:
 		r.row.moved = true
 	case ResultNeutral:
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -19,6 +19,8 @@
 const (
 	// maxSends bounds the servers to which one request is sent, refusals included; each refusal costs a round trip.
 	maxSends = 4
+	// maxUnsent bounds the servers that one request finds unreachable. They cost no arrival and little time.
+	maxUnsent = 8
 	// shortestAttempt is the time that must be left for another attempt; with less, no server can answer.
 	shortestAttempt = 30 * time.Millisecond
 	// maxWholeBytes bounds an answer that is read as a whole before it is delivered; longer ones are cut.
@@ -47,10 +49,11 @@
 	done          chan struct{}
 	rng           *rand.Rand
 
-	// sends counts the attempts, runs those that may have run.
-	sends int
-	runs  int
-	tried []string
+	// sends counts the attempts that reached a server, runs those that may have run, unsent the others.
+	sends  int
+	runs   int
+	unsent int
+	tried  []string
 	// uncertain is set once a server may have run the request without saying so.
 	uncertain bool
 	// failure is the last failure that a server stated, with its body.
@@ -145,7 +148,7 @@
 // begin chooses a server and counts the attempt; it ends the request if there is none.
 func (r *run) begin() (*backend.Run, bool) {
 	now := time.Now()
-	if r.sends > 0 && !r.mayRepeat(now) {
+	if r.sends+r.unsent > 0 && !r.mayRepeat(now) {
 		r.finish()
 		return nil, false
 	}
@@ -169,7 +172,8 @@
 	return server, true
 }
 
-// choose applies the routing policy. If no server is left it first takes one that was tried before, then another version.
+// choose applies the routing policy. If no server is left it takes one that was tried before, one that was unreachable, and at
+// last another version.
 func (r *run) choose(candidates []routing.Candidate, preference migration.Preference, now time.Time) routing.Choice {
 	policy := routing.PlainPolicy()
 	if r.route.Prompt {
@@ -192,6 +196,12 @@
 		want.Exclude = nil
 		choice, _ = policy.Choose(candidates, want, now, r.rng)
 	}
+	if !choice.Found {
+		for i := range candidates {
+			candidates[i].EjectedUntil = time.Time{}
+		}
+		choice, _ = policy.Choose(candidates, want, now, r.rng)
+	}
 	if !choice.Found && (preference.Use != "" || preference.Avoid != "") {
 		want.Software, want.NotSoftware = "", preference.Withdrawn
 		choice, _ = policy.Choose(candidates, want, now, r.rng)
@@ -209,7 +219,7 @@
 
 // mayRepeat reports whether time, attempts and the budget allow another attempt.
 func (r *run) mayRepeat(now time.Time) bool {
-	if r.ctx.Err() != nil || r.sends >= maxSends {
+	if r.ctx.Err() != nil || r.sends >= maxSends || r.unsent >= maxUnsent {
 		return false
 	}
 	if r.runs >= max(1, r.route.MaxAttempts) {
@@ -264,8 +274,15 @@
 	}
 	left := r.ctx.Err() != nil
 	result := backend.ResultBad
-	if left {
+	switch {
+	case left:
 		result = backend.ResultNeutral
+	case !sent:
+		result = backend.ResultUnreachable
+		r.sends--
+		r.unsent++
+		// Nothing arrived at a server, so the budget is still to be spent.
+		r.paid = true
 	}
 	server.End(result, time.Now())
 	r.log("attempt failed", "server", server.Entry.ID, "sent", sent, "kept_connection", stale, "error", err.Error())
--- a/internal/routing/gateway.go
+++ b/internal/routing/gateway.go
@@ -113,7 +113,7 @@
 // PromptPolicy chooses a server for a request with a prompt.
 func PromptPolicy() Policy {
 	return Policy{
-		Filters: []Filter{VersionFilter{}, LeavingFilter{}, TriedFilter{}, FullFilter{}},
+		Filters: []Filter{VersionFilter{}, LeavingFilter{}, EjectedFilter{}, TriedFilter{}, FullFilter{}},
 		Scorers: []Scorer{PromptScorer{}, PartitionScorer{}, FailureScorer{}, ZoneScorer{}},
 		Picker:  Lowest{},
 	}
@@ -122,7 +122,7 @@
 // PlainPolicy chooses a server for a request without a prompt.
 func PlainPolicy() Policy {
 	return Policy{
-		Filters: []Filter{VersionFilter{}, LeavingFilter{}, TriedFilter{}, FullFilter{}},
+		Filters: []Filter{VersionFilter{}, LeavingFilter{}, EjectedFilter{}, TriedFilter{}, FullFilter{}},
 		Scorers: []Scorer{AnswerScorer{}, FailureScorer{}, ZoneScorer{}},
 		Picker:  Lowest{},
 	}
