--- a/internal/gateway/finish.go
+++ b/internal/gateway/finish.go
@@ -12,15 +12,16 @@
 
 // finish ends a request that gets no success: with the failure that a server stated, or with this instance's refusal.
 func (r *run) finish() {
+	cause := context.Cause(r.ctx)
 	switch {
+	case errors.Is(cause, context.Canceled):
+		r.log("caller left", "runs", r.runs, "after", r.last)
+		r.gateway.Metrics.finished(r, api.OutcomeUnknown, fault.CodeCallerGone)
+		r.caller.Cut()
 	case r.began:
-		r.log("answer ended early", "after", r.last, "runs", r.runs)
+		r.log("answer ended early", "after", r.last, "runs", r.runs, "cause", causeText(cause))
 		r.gateway.Metrics.finished(r, api.OutcomeUnknown, fault.CodeStreamCut)
 		r.caller.Cut()
-	case errors.Is(context.Cause(r.ctx), context.Canceled):
-		r.log("caller left", "runs", r.runs)
-		r.gateway.Metrics.finished(r, api.OutcomeUnknown, fault.CodeCallerGone)
-		r.caller.Cut()
 	case r.failure != nil:
 		r.log("failure passed on", "runs", r.runs)
 		r.gateway.Metrics.finished(r, api.OutcomeAnswered, fault.CodeBackendServerFailed)
@@ -30,6 +31,14 @@
 	}
 }
 
+// causeText names what ended a stream early; without a cause it was the server, and no other could go on.
+func causeText(cause error) string {
+	if cause == nil {
+		return "server broke off"
+	}
+	return cause.Error()
+}
+
 // refusal describes what is certain about the request.
 func (r *run) refusal() *fault.Error {
 	late := r.ctx.Err() != nil
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -97,14 +97,15 @@
 // Run implements worker.Job.
 func (r *run) Run(ctx context.Context) {
 	defer close(r.done)
-	var cancel context.CancelFunc
-	if r.limit.IsZero() {
-		r.ctx, cancel = context.WithCancel(r.ctx)
-	} else {
-		r.ctx, cancel = context.WithDeadline(r.ctx, r.limit)
-	}
-	defer cancel()
-	defer context.AfterFunc(ctx, cancel)()
+	limited, cancel := context.WithCancelCause(r.ctx)
+	defer cancel(nil)
+	defer context.AfterFunc(ctx, func() { cancel(errStopping) })()
+	r.ctx = limited
+	if !r.limit.IsZero() {
+		withDeadline, release := context.WithDeadline(limited, r.limit)
+		defer release()
+		r.ctx = withDeadline
+	}
 	r.gateway.Budget.Request(r.service.Name, r.request.Arrived)
 	r.chooseModel()
 	for r.attempt() {
@@ -167,8 +168,8 @@
 	}
 	r.sends++
 	r.tried = append(r.tried, choice.Server)
-	r.log("attempt", "server", choice.Server, "version", server.Entry.Software, "model", r.model, "number", r.sends,
-		"candidates", len(candidates), "eligible", choice.Eligible, "score_ms", choice.Score.Milliseconds(), "after", r.last)
+	r.log("attempt", "server", choice.Server, "version", server.Entry.Software, "model", r.model, "number", r.sends+r.unsent,
+		"configuration", r.configuration.Version, "candidates", len(candidates), "eligible", choice.Eligible, "score_ms", choice.Score.Milliseconds(), "after", r.last)
 	return server, true
 }
 
@@ -252,6 +253,9 @@
 	}
 }
 
+// errStopping ends the requests that still run when the instance stops.
+var errStopping = errors.New("the instance stops")
+
 // errAttemptPatience ends an attempt that another server may answer sooner.
 var errAttemptPatience = errors.New("no answer within the patience of an attempt")
 
