--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -21,7 +21,7 @@
 
 const (
 	// Interval is the pause between two rounds; evidence must reach the others well within the 5 s that a roll-back may take.
-	Interval = 600 * time.Millisecond
+	Interval = 500 * time.Millisecond
 	// RoundTimeout bounds one round.
 	RoundTimeout = 1500 * time.Millisecond
 	// pullTimeout bounds one pull; a peer in the next availability zone answers within 10 ms.
@@ -175,7 +175,20 @@
 	if err != nil {
 		return
 	}
-	e.merge(address, state, away, time.Now())
+	if e.merge(address, state, away, time.Now()) && !query.Full {
+		e.catchUp(ctx, address, query)
+	}
+}
+
+// catchUp pulls the servers from a peer that has seen changes of them which this instance should have seen too.
+func (e *Exchange) catchUp(ctx context.Context, address string, query Query) {
+	query.Full, query.Have = true, e.Configurations.Version()
+	state, err := e.Fetch(ctx, address, query)
+	if err != nil {
+		e.reached(address, err, time.Now())
+		return
+	}
+	e.merge(address, state, true, time.Now())
 }
 
 // reached logs a peer once when it stops and once when it starts answering, and forgets one that stays away.
@@ -200,9 +213,9 @@
 	}
 }
 
-// merge takes what the peer knows. Servers are taken only while the store is away, and only added: a peer's list may be
-// older than this instance's.
-func (e *Exchange) merge(address string, state api.GatewayState, away bool, now time.Time) {
+// merge takes what the peer knows and reports whether it knows newer rows of the servers for longer than usual. Its list of
+// servers is taken only if this instance is behind, because otherwise the peer's may be older.
+func (e *Exchange) merge(address string, state api.GatewayState, behind bool, now time.Time) bool {
 	for _, instance := range state.Instances {
 		e.Put(instance)
 	}
@@ -210,7 +223,7 @@
 		e.Adopt(state.Configuration, address)
 	}
 	e.Operator.Hint(state.OperatorRow, now)
-	e.Servers.Hint(state.ServersRow, now)
+	lagging := e.Servers.Hint(state.ServersRow, now)
 	for _, m := range state.Migrations {
 		e.mergeMigration(m, now)
 	}
@@ -225,9 +238,10 @@
 		loads[l.Server] = backend.Load{Running: l.Running, PendingTokens: l.PendingTokens}
 	}
 	e.Directory.Peer(state.Incarnation, loads, e.Instances(), now)
-	if away && state.ServersKnown {
+	if behind && state.ServersKnown {
 		e.mergeServers(state.Servers, now)
 	}
+	return lagging
 }
 
 func (e *Exchange) mergeMigration(m api.GatewayMigration, now time.Time) {
--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -59,8 +59,6 @@
 	After string
 	// Fresh asks for a new connection.
 	Fresh bool
-	// Sent is called before the first byte is written.
-	Sent func()
 }
 
 // Verdict is what an answer says about the request's run.
@@ -83,8 +81,6 @@
 	Verdict Verdict
 	// Confidence is the model's opinion of its answer, 0 to 100, or -1 if it gave none.
 	Confidence int
-	// RetryAfter is the wait that a refusal suggests; zero if none.
-	RetryAfter time.Duration
 	// Events is set if the body is a series of events.
 	Events bool
 	Body   Body
--- a/internal/httpconn/exchange.go
+++ b/internal/httpconn/exchange.go
@@ -35,8 +35,6 @@
 	Fresh bool
 	// Matches reports whether an answer belongs to the request; nil accepts each.
 	Matches func(http.Header) bool
-	// Sent is called before the first byte is written; nil if nobody asks.
-	Sent func()
 }
 
 // Error is an exchange that brought no answer.
@@ -50,6 +48,9 @@
 
 // Error implements error.
 func (e *Error) Error() string {
+	if e.Sent && e.Reused {
+		return "request may have been received on a kept connection: " + e.Cause.Error()
+	}
 	if e.Sent {
 		return "request may have been received: " + e.Cause.Error()
 	}
@@ -64,8 +65,6 @@
 type Response struct {
 	Status int
 	Header http.Header
-	// Length is the length of the body, or -1 if it is not known in advance.
-	Length int64
 	// Reused is true if the connection had served another request before.
 	Reused bool
 
@@ -94,9 +93,6 @@
 		p.put(c)
 		return nil, &Error{Cause: err}
 	}
-	if request.Sent != nil {
-		request.Sent()
-	}
 	x := &exchange{pool: p, conn: c, written: make(chan error, 1)}
 	x.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
 	x.write(request)
@@ -172,7 +168,6 @@
 	return &Response{
 		Status:   answer.StatusCode,
 		Header:   answer.Header,
-		Length:   answer.ContentLength,
 		Reused:   x.conn.used,
 		exchange: x,
 		body:     answer.Body,
@@ -202,9 +197,6 @@
 	return n, err
 }
 
-// Buffered reports whether more bytes of the body can be read without waiting.
-func (r *Response) Buffered() bool { return r.exchange.conn.reader.Buffered() > 0 }
-
 // Close ends the exchange. The connection is kept if the whole answer was read, the whole request was written and nothing
 // else arrived.
 func (r *Response) Close() {
--- a/internal/rowfeed/rowfeed.go
+++ b/internal/rowfeed/rowfeed.go
@@ -22,13 +22,16 @@
 	// waitMin and waitShare give the mean wait, which grows with the number of instances. A request whose answer was lost
 	// hangs until its wait ends; one of the others ends before and tells its peers.
 	waitMin   = 3 * time.Second
-	waitShare = 800 * time.Millisecond
+	waitShare = 500 * time.Millisecond
+	// retryWait is the wait asked for after a failure, when the question is whether the store is back.
+	retryWait = 100 * time.Millisecond
 	// readTimeout bounds a full read, which the store answers at once.
 	readTimeout = 1500 * time.Millisecond
-	// hintPatience is how long a follower waits for a change that a peer has seen.
+	// hintLag is the time by which a peer may see a change earlier, hintPatience that after which a call counts as dead.
+	hintLag      = 250 * time.Millisecond
 	hintPatience = 900 * time.Millisecond
 	// waitMargin is the time beyond the wait after which an answer is not expected any more.
-	waitMargin = 3 * time.Second
+	waitMargin = 1200 * time.Millisecond
 	// StepTimeout bounds one step of a follower.
 	StepTimeout = waitMax + waitMargin
 	// retryFirst and retryMax are the pauses after failures. Refused calls are priced too; a change must be in force within
@@ -120,7 +123,8 @@
 	}
 	page, err := f.changes(ctx)
 	if errors.Is(err, context.Canceled) && ctx.Err() == nil {
-		f.Log.Warn("waiting for changes abandoned, a peer has seen some", "table", f.Table, "version", f.version)
+		f.Log.Warn("waiting for changes abandoned, a peer has seen some", "table", f.Table, "version", f.version,
+			"error", err.Error())
 		return nil
 	}
 	if errors.Is(err, ErrHistoryGone) {
@@ -149,33 +153,44 @@
 	f.abandon = nil
 	f.mu.Unlock()
 	if err != nil && errors.Is(call.Err(), context.Canceled) {
-		return page, context.Canceled
+		return page, errors.Wrap(context.Canceled, err.Error())
 	}
 	return page, err
 }
 
 // wait returns the wait of the next call, drawn so that the calls of the instances end at different times.
 func (f *Follower) wait() time.Duration {
+	if f.away() {
+		return retryWait
+	}
 	mean := min(waitMax, max(waitMin, time.Duration(f.Instances())*waitShare))
 	return min(waitMax, mean/2+rand.N(mean))
 }
 
-// Hint tells the newest row version that a peer has seen. A follower that does not hear of it in time gives up its call,
-// whose connection may be dead without a sign.
-func (f *Follower) Hint(version int64, now time.Time) {
+// away reports whether the last call failed.
+func (f *Follower) away() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.failures > 0
+}
+
+// Hint tells the newest row version that a peer has seen and reports whether the follower is behind it for longer than usual.
+// One that does not hear of the row in time gives up its call, whose connection may be dead without a sign.
+func (f *Follower) Hint(version int64, now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if version <= f.lastRow {
-		return
+		return false
 	}
 	if f.hinted <= f.lastRow {
 		f.hinted, f.hintedAt = version, now
-		return
+		return false
 	}
 	if now.Sub(f.hintedAt) > hintPatience && f.abandon != nil {
 		f.abandon()
-		f.hinted = 0
+		f.abandon = nil
 	}
+	return now.Sub(f.hintedAt) > hintLag
 }
 
 // LastRow returns the newest version among the rows that were handed on.
@@ -205,6 +220,10 @@
 	for _, row := range page.Rows {
 		f.lastRow = max(f.lastRow, row.Version)
 	}
+	if complete {
+		// Rows that were dropped before have newer versions than those that are left.
+		f.lastRow = max(f.lastRow, page.Version)
+	}
 	f.mu.Unlock()
 	f.Handle(Batch{Complete: complete, Rows: page.Rows, Clock: page.Clock, Returned: returned})
 }
--- a/internal/rowfeed/rowfeed_test.go
+++ b/internal/rowfeed/rowfeed_test.go
@@ -112,13 +112,18 @@
 			step(t, f)
 		}()
 		synctest.Wait()
-		f.Hint(5, time.Now())
+		if f.Hint(5, time.Now()) {
+			t.Error("behind at the first hint, the change may be on its way")
+		}
 		synctest.Wait()
 		select {
 		case <-done:
 			t.Error("the call ended on the first hint, the change may be on its way")
 		default:
 		}
+		if !f.Hint(5, time.Now().Add(hintLag+time.Millisecond)) {
+			t.Error("not behind although a peer has seen the change for long")
+		}
 		f.Hint(5, time.Now().Add(hintPatience+time.Millisecond))
 		<-done
 		if time.Since(begun) > time.Second {
@@ -126,3 +131,32 @@
 		}
 	})
 }
+
+// Guards against a store that is back for seconds before anyone asks it (Parabole, platform_down silent for 10 s, CONFIG: calls
+// waited 6 s for changes although the ones before had failed).
+func TestStoreThatWasAwayIsAskedBriefly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &source{read: func(context.Context) (Page, error) { return Page{Version: 1}, nil }}
+		s.changes = func(ctx context.Context, _ int64) (Page, error) { return hang(ctx) }
+		f, _ := follow(s)
+		step(t, f)
+		step(t, f)
+		for range 5 {
+			begun := time.Now()
+			step(t, f)
+			if cycle := time.Since(begun) + f.Pause(); cycle > 2500*time.Millisecond {
+				t.Errorf("the next question comes after %s", cycle)
+			}
+		}
+	})
+}
+
+// Guards against an instance that counts as behind for ever because rows were dropped before it read the table.
+func TestCompleteReadIsUpToDate(t *testing.T) {
+	f, _ := follow(&source{read: func(context.Context) (Page, error) { return Page{Version: 9, Rows: []Row{{Key: "a", Version: 2}}}, nil }})
+	step(t, f)
+	f.Hint(8, time.Now())
+	if f.Hint(8, time.Now().Add(time.Minute)) || f.LastRow() != 9 {
+		t.Errorf("newest row %d", f.LastRow())
+	}
+}
