--- /dev/null
+++ b/internal/exchange/exchange_test.go
@@ -0,0 +1,176 @@
+package exchange
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"slices"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/cicadawall/cicadawall/internal/api"
+	"github.com/cicadawall/cicadawall/internal/backend"
+	"github.com/cicadawall/cicadawall/internal/gateway"
+	"github.com/cicadawall/cicadawall/internal/migration"
+	"github.com/cicadawall/cicadawall/internal/rowfeed"
+)
+
+// network connects exchanges by their addresses.
+type network struct {
+	mu      sync.Mutex
+	nodes   map[string]*Exchange
+	cut     map[string]bool
+	fetches int
+}
+
+func (n *network) node(address string) (*Exchange, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.cut[address] {
+		return nil, errors.New("cut off")
+	}
+	return n.nodes[address], nil
+}
+
+func (n *network) Pull(_ context.Context, address string, query api.GatewayQuery) (api.GatewayState, error) {
+	node, err := n.node(address)
+	if err != nil {
+		return api.GatewayState{}, err
+	}
+	return node.State(query), nil
+}
+
+func (n *network) Configuration(_ context.Context, address string) ([]byte, error) {
+	node, err := n.node(address)
+	if err != nil {
+		return nil, err
+	}
+	n.mu.Lock()
+	n.fetches++
+	n.mu.Unlock()
+	return node.Document(), nil
+}
+
+// add connects a new exchange that knows the seeds.
+func (n *network) add(address string, away bool, seeds ...string) *Exchange {
+	log := slog.New(slog.NewJSONHandler(io.Discard, nil))
+	feed := func() *rowfeed.Follower {
+		return rowfeed.New(rowfeed.Options{Handle: func(rowfeed.Batch) {}, Instances: func() int { return 1 }, Log: log})
+	}
+	configurations := gateway.NewConfigurations()
+	node := New(Options{
+		Incarnation: "incarnation of " + address, Address: address, Seeds: seeds, Configurations: configurations,
+		Directory: backend.NewDirectory(), Migrations: migration.NewTable(0.15), Transport: n, Operator: feed(), Servers: feed(),
+		Adopt: func(document []byte, _ string) {
+			version, _ := strconv.ParseInt(string(document), 10, 64)
+			configurations.Adopt((&gateway.Configuration{Version: version, Document: document}).Compile())
+		},
+		Away: func(time.Time) bool { return away }, Log: log,
+	})
+	n.nodes[address] = node
+	return node
+}
+
+func newNetwork() *network { return &network{nodes: map[string]*Exchange{}, cut: map[string]bool{}} }
+
+func round(t *testing.T, nodes ...*Exchange) {
+	t.Helper()
+	for _, node := range nodes {
+		if err := node.Round(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	synctest.Wait()
+}
+
+// Guards against an instance without a store that stays on an old manifest, and against one that fetches a large manifest from
+// each peer at once (grown Parabole trouble-1 --seed 682738988909, CONFIG 41: no pull ended in time).
+func TestManifestIsFetchedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		var seeds []string
+		for i := range peersPerRound {
+			seeds = append(seeds, "peer-"+strconv.Itoa(i))
+			n.add(seeds[i], false).Adopt([]byte("7"), "store")
+		}
+		late := n.add("late", true, seeds...)
+		round(t, late)
+		if late.Configurations.Version() != 7 || n.fetches != 1 {
+			t.Errorf("version %d after %d fetches", late.Configurations.Version(), n.fetches)
+		}
+	})
+}
+
+// Guards against evidence that stays where it was counted, so that no instance has enough of it (grown Parabole
+// bad-version-slow --seed 762556518909, EXPOSURE 848: 16 of several hundred answers were known).
+func TestOwnersCollectEvidence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const instances, answers = 30, 3
+		n := newNetwork()
+		var addresses []string
+		for i := range instances {
+			addresses = append(addresses, "peer-"+strconv.Itoa(i))
+		}
+		order := migration.Order{Service: "desk", Target: "v2", Duration: time.Minute, Revision: 1}
+		var nodes []*Exchange
+		for _, address := range addresses {
+			node := n.add(address, false, addresses...)
+			nodes = append(nodes, node)
+			node.Migrations.Order(order, 0, time.Now())
+			for range answers {
+				node.Migrations.Observe("desk", "v2", "chat", true, 0)
+			}
+		}
+		for _, node := range nodes {
+			for _, address := range addresses {
+				node.Put(api.GatewayInstance{PeerAddress: address, Incarnation: "incarnation of " + address})
+			}
+		}
+		for range ownerRounds {
+			round(t, nodes...)
+		}
+		owner := nodes[slices.IndexFunc(nodes, func(e *Exchange) bool { return e.Rank("desk") == 0 })]
+		decisions := owner.Migrations.Decide(time.Now())
+		if len(decisions) != 1 || decisions[0].Fresh.Bad != instances*answers || decisions[0].Status.State != migration.StateRolledBack {
+			t.Errorf("the owner decides on %+v", decisions)
+		}
+	})
+}
+
+// Guards against dead peers that count for ever in the load, and against a cut-off instance that spends the slack of all.
+func TestLostPeersAreForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		n.add("peer", false)
+		node := n.add("node", false)
+		node.Put(api.GatewayInstance{PeerAddress: "peer", Incarnation: "one"})
+		n.cut["peer"] = true
+		round(t, node)
+		<-time.After(lostAfter + time.Second)
+		round(t, node)
+		if node.Instances() != 1 || node.MostInstances() != 2 {
+			t.Errorf("%d instances, %d at most", node.Instances(), node.MostInstances())
+		}
+	})
+}
+
+// Guards against an instance without a store that uses servers which a peer knows to be leaving.
+func TestServersComeFromPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		peer, late := n.add("peer", false), n.add("late", true, "peer")
+		entry := backend.Entry{ID: "a", Service: "desk", Address: "a:1", Software: "v1", Slots: 1}
+		late.Directory.Replace([]backend.Entry{entry}, 0, time.Now())
+		entry.Leaving = true
+		peer.Directory.Replace([]backend.Entry{entry}, 0, time.Now())
+		round(t, late)
+		if entries := late.Directory.Entries(); len(entries) != 1 || !entries[0].Leaving {
+			t.Errorf("entries %+v", entries)
+		}
+	})
+}
