--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -45,6 +45,27 @@
 	}
 }
 
+// Guards against entries that lapse without a sign of an outage, and against a server that leaves and is held for that.
+func TestHold(t *testing.T) {
+	d := NewDirectory()
+	d.Replace([]Entry{entry("a"), entry("b"), entry("c")}, 0, now)
+	for _, c := range []struct {
+		name     string
+		returned time.Time
+		removed  int
+		want     time.Duration
+	}{
+		{"one leaves", time.Time{}, 1, 0},
+		{"most vanish", time.Time{}, 2, lapseHold},
+		{"right after the return", now, 1, lapseHold},
+		{"long after the return", now.Add(-time.Minute), 1, 0},
+	} {
+		if got := d.Hold(c.returned, c.removed, now); got != c.want {
+			t.Errorf("%s: %s", c.name, got)
+		}
+	}
+}
+
 // Guards against a server that keeps its place after its entry was removed while the store was well.
 func TestRemovedEntryGoesAtOnce(t *testing.T) {
 	d := NewDirectory()
--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -10,6 +10,10 @@
 	"github.com/cicadawall/cicadawall/internal/routing"
 )
 
+// lapseHold is how long a server is kept whose entry is missing after the store was away. Entries of live servers are back
+// within about 2 s.
+const lapseHold = 2200 * time.Millisecond
+
 // Entry is what a backend server says of itself.
 type Entry struct {
 	ID               string
@@ -110,6 +114,21 @@
 	r.coldUntil = now.Add(entry.Cold)
 }
 
+// Hold returns how long servers are kept whose entries are missing. Returned is when the store answered again after it had been
+// away, zero if it never was; removed is the number of entries that vanished together. If that is most of them, the store
+// rather than the servers was away.
+func (d *Directory) Hold(returned time.Time, removed int, now time.Time) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if removed > 1 && 2*removed > len(d.rows) {
+		return lapseHold
+	}
+	if returned.IsZero() {
+		return 0
+	}
+	return max(0, returned.Add(lapseHold).Sub(now))
+}
+
 // Remove takes the removal of an entry; see Replace for the hold.
 func (d *Directory) Remove(id string, hold time.Duration, now time.Time) []string {
 	d.mu.Lock()
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -172,7 +172,8 @@
 	r.sends++
 	r.tried = append(r.tried, choice.Server)
 	r.log("attempt", "server", choice.Server, "version", server.Entry.Software, "model", r.model, "number", r.sends+r.unsent,
-		"configuration", r.configuration.Version, "candidates", len(candidates), "eligible", choice.Eligible, "score_ms", choice.Score.Milliseconds(), "after", r.last)
+		"configuration", r.configuration.Version, "candidates", len(candidates), "eligible", choice.Eligible,
+		"score_ms", choice.Score.Milliseconds(), "after", r.last)
 	return server, true
 }
 
--- a/internal/migration/migration_test.go
+++ b/internal/migration/migration_test.go
@@ -140,3 +140,19 @@
 		}
 	}
 }
+
+// Guards against all instances writing a state at once, and against a state that nobody writes because the first one is gone.
+func TestTurns(t *testing.T) {
+	decisions := []Decision{{Status: Status{Service: service, Target: "v2", State: StateRunning}}}
+	for rank := range 3 {
+		var turns Turns
+		place := func(string) int { return rank }
+		for tick := 0; tick < 30; tick++ {
+			at := origin.Add(time.Duration(tick) * 100 * time.Millisecond)
+			due := len(turns.Due(decisions, place, at)) == 1
+			if want := at.Sub(origin) >= time.Duration(rank)*turnDelay; due != want {
+				t.Fatalf("rank %d after %s: due %t", rank, at.Sub(origin), due)
+			}
+		}
+	}
+}
