--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -141,7 +141,7 @@
 	}
 	e.mu.Unlock()
 	for _, seed := range e.Seeds {
-		if !slices.Contains(addresses, seed) {
+		if seed != e.Address && !slices.Contains(addresses, seed) {
 			addresses = append(addresses, seed)
 		}
 	}
