--- a/internal/exchange/merge.go
+++ b/internal/exchange/merge.go
@@ -17,7 +17,7 @@
 		e.Put(instance)
 	}
 	if state.ConfigurationVersion > e.Configurations.Version() && e.beginFetch() {
-		go e.fetchConfiguration(address)
+		go e.fetchConfiguration(address, state.ConfigurationVersion)
 	}
 	e.Operator.Hint(state.OperatorRow, now)
 	lagging := e.Servers.Hint(state.ServersRow, now)
@@ -60,16 +60,24 @@
 	return true
 }
 
-// fetchConfiguration fetches the configuration in force at a peer.
-func (e *Exchange) fetchConfiguration(address string) {
+// fetchConfiguration fetches the configuration in force at a peer, unless the fetch before brought it.
+func (e *Exchange) fetchConfiguration(address string, version int64) {
+	defer e.endFetch()
+	if e.Configurations.Version() >= version {
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), configurationTimeout)
 	defer cancel()
 	document, err := e.Transport.Configuration(ctx, address)
 	if err != nil {
 		e.Log.Warn("configuration not fetched from the peer", "peer", address, "error", err.Error())
-	} else {
-		e.Adopt(document, address)
+		return
 	}
+	e.Adopt(document, address)
+}
+
+// endFetch lets the next fetch begin.
+func (e *Exchange) endFetch() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.fetching = false
