Give away half of what a silent instance would use of a limit

Cause: an allocator kept limit/n back for a dead instance until its registration ended (30 s), because a cut-off instance could be using it: -6.1% of the limit at 6 instances, bound 5% (KNOWN-RED).

Change: an instance without a grant from an allocator that hears half of the fleet falls to half of limit/n between 6 and 10 s; the allocator of a majority reckons the same from 3 s after it got its majority. A new allocator lets earlier shares run out instead of renewing them, and starts anew when an instance holds more than it granted. Shares add up to 1.03 times the limit instead of 1.04.

--- a/internal/api/peer.gen.go
+++ b/internal/api/peer.gen.go
@@ -321,7 +321,10 @@
 	Cost float64 `json:"cost,omitempty" yaml:"cost,omitempty"`
 
 	// Day Days since 1970-01-01 UTC for which the cost figures hold.
-	Day               int64   `json:"day,omitempty" yaml:"day,omitempty"`
+	Day int64 `json:"day,omitempty" yaml:"day,omitempty"`
+
+	// Minority The allocator hears from less than half of the registered instances.
+	Minority          bool    `json:"minority,omitempty" yaml:"minority,omitempty"`
 	Organisation      string  `json:"organisation" yaml:"organisation"`
 	RequestsPerSecond float64 `json:"requestsPerSecond,omitempty" yaml:"requestsPerSecond,omitempty"`
 	TokensPerSecond   float64 `json:"tokensPerSecond,omitempty" yaml:"tokensPerSecond,omitempty"`
--- a/internal/limit/allocator.go
+++ b/internal/limit/allocator.go
@@ -17,6 +17,8 @@
 
 // member is what an allocator knows of one instance and one organisation.
 type member struct {
+	// seen is the time at which the allocator learned of the instance, heard that of its last report.
+	seen   time.Time
 	heard  time.Time
 	demand Rates
 	// use is the most that the instance may use until its share ends.
@@ -36,10 +38,14 @@
 	// learnUntil is the time until which shares of an earlier allocator may be in use.
 	learnUntil time.Time
 	last       time.Time
-	members    map[string]*member
-	sum        summary
-	day        int64
-	total      float64 // cost units on the day
+	// halfSince and majoritySince are the times since which half or more, and more than half, of the registered instances have
+	// been heard; zero if they are not.
+	halfSince     time.Time
+	majoritySince time.Time
+	members       map[string]*member
+	sum           summary
+	day           int64
+	total         float64 // cost units on the day
 }
 
 // Allocator is the table of the organisations that this instance allocates. It is safe for concurrent use.
@@ -116,8 +122,9 @@
 // learn starts or restarts the account after a time in which another allocator may have been in charge.
 func (acc *account) learn(now time.Time) {
 	acc.learnUntil = now.Add(Validity)
+	acc.halfSince, acc.majoritySince = time.Time{}, time.Time{}
 	for _, m := range acc.members {
-		*m = member{spent: m.spent}
+		*m = member{seen: now, spent: m.spent}
 	}
 }
 
@@ -130,7 +137,7 @@
 	}
 	for id := range registered {
 		if acc.members[id] == nil {
-			acc.members[id] = &member{}
+			acc.members[id] = &member{seen: now}
 		}
 	}
 	for id, m := range acc.members {
@@ -142,10 +149,18 @@
 
 func (acc *account) grant(id string, d *api.Demand, limit Limits, now time.Time) api.LimitGrant {
 	m := acc.members[id]
+	if !m.heard.IsZero() && d.Holds && (d.HeldRequestsPerSecond > m.use.Requests || d.HeldTokensPerSecond > m.use.Tokens) {
+		// Another allocator raised the share, and may have raised others.
+		acc.learn(now)
+	}
 	m.heard = now
 	m.demand = Rates{Requests: d.RequestsPerSecond, Tokens: d.TokensPerSecond}
 	share := acc.share(id, d, limit.Rates, now)
 	cost := acc.cost(id, d, limit.CostPerDay, now)
+	validity := Validity
+	if d.Holds && now.Before(acc.learnUntil) {
+		validity = 0 // the share of the earlier allocator runs out
+	}
 	return api.LimitGrant{
 		Organisation:      d.Organisation,
 		RequestsPerSecond: share.Requests,
@@ -154,7 +169,8 @@
 		Day:               acc.day,
 		AcknowledgedSpent: m.spent,
 		TotalSpent:        acc.total,
-		ValidMillis:       Validity.Milliseconds(),
+		ValidMillis:       validity.Milliseconds(),
+		Minority:          acc.halfSince.IsZero() || now.Sub(acc.halfSince) < Validity,
 	}
 }
 
@@ -180,15 +196,32 @@
 	return share
 }
 
-// mayUse returns the most that the instance may use at the moment.
-func (m *member) mayUse(alone Rates, now time.Time) Rates {
-	silence := now.Sub(m.heard)
-	switch {
-	case m.heard.IsZero() || silence > Validity:
-		return alone
-	case silence > lateAfter:
+// mayUse returns the most that the instance may use at the moment, where alone is its equal part of the limit.
+func (acc *account) mayUse(m *member, alone Rates, now time.Time) Rates {
+	if m.silent(now) {
+		return alone.times(acc.keptBack(m, now))
+	}
+	if now.Sub(m.heard) > lateAfter {
 		return m.use.max(alone)
-	default:
-		return m.use
 	}
+	return m.use
+}
+
+// silent reports whether the instance has no valid share from this allocator.
+func (m *member) silent(now time.Time) bool { return m.heard.IsZero() || now.Sub(m.heard) > Validity }
+
+// keptBack returns the part of limit/n that the allocator keeps back for a silent instance. It falls only for an allocator
+// that hears the majority, because the silent instance then cannot get a grant of one that hears half or more. Such a grant
+// may have been given until Validity after the majority was reached, by an allocator to which the instances reported before.
+func (acc *account) keptBack(m *member, now time.Time) float64 {
+	if acc.majoritySince.IsZero() {
+		return 1
+	}
+	since := acc.majoritySince.Add(Validity)
+	for _, t := range []time.Time{m.seen, m.heard} {
+		if t.After(since) {
+			since = t
+		}
+	}
+	return aloneAfter(now.Sub(since))
 }
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -2,7 +2,8 @@
 // instances without a central counter. For each organisation the allocator, an instance chosen by rendezvous hash, hands out
 // shares of the limit by demand. A share is valid for 3 s. An instance without a valid share uses limit/n, and the allocator
 // keeps that much back for each registered instance that it does not hear from, so that the sum stays within the limit
-// during partitions, whichever instances believe to be the allocator.
+// during partitions, whichever instances believe to be the allocator. On the side of a minority the rates fall to half within
+// 12 s, and the allocator of a majority keeps back less accordingly.
 package limit
 
 import (
@@ -24,6 +25,12 @@
 	// lateAfter is the silence after which the allocator expects an instance to fall back to limit/n, so that the others
 	// have given up that much when it does.
 	lateAfter = 1500 * time.Millisecond
+	// aloneFull is the time for which an instance that reaches no allocator with half of the fleet keeps its whole part; a
+	// change of allocator takes up to Validity twice. In aloneFall it then falls to aloneLeast of it, and the others may use
+	// what it gives up. It does not fall to zero, because an instance that is cut off has to go on serving.
+	aloneFull  = 6 * time.Second
+	aloneFall  = 4 * time.Second
+	aloneLeast = 0.5
 	// secondsPerDay converts a time to a day number in UTC.
 	secondsPerDay = 24 * 60 * 60
 )
@@ -34,6 +41,13 @@
 	Tokens   float64 // per second
 }
 
+// aloneAfter returns the part of its rates that an instance keeps after the time without an allocator that hears half of the
+// fleet.
+func aloneAfter(silence time.Duration) float64 {
+	fallen := min(max(0, (silence-aloneFull).Seconds()/aloneFall.Seconds()), 1)
+	return 1 - fallen*(1-aloneLeast)
+}
+
 // Limits are an organisation's limits; zero means unlimited.
 type Limits struct {
 	Rates
--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -106,6 +107,53 @@
 	}
 }
 
+// Guards against an allocator and a cut-off instance that disagree on what the instance still uses: the instance's part may fall
+// only while no allocator of half the fleet answers, and the allocator may give the difference away only while it hears more
+// than half.
+func TestPartOfSilentInstanceFalls(t *testing.T) {
+	limits := Limits{Rates: Rates{Requests: 300}}
+	for _, c := range []struct {
+		name     string
+		heard    []string
+		minority bool
+		granted  float64 // to all heard instances together, 60 s later
+	}{
+		{"majority", []string{"a", "b"}, false, 250},
+		{"minority", []string{"a"}, true, 100},
+	} {
+		a, now := NewAllocator(), start
+		var sum float64
+		var last api.LimitGrant
+		for now.Before(start.Add(time.Minute)) {
+			sum = 0
+			for _, id := range c.heard {
+				demand := api.Demand{Organisation: "o", RequestsPerSecond: 300, Day: dayOf(now)}
+				report := api.DemandReport{Incarnation: id, Demands: []api.Demand{demand}}
+				last = a.Report(report, []string{"a", "b", "c"}, fixed(limits), now).Grants[0]
+				sum += last.RequestsPerSecond
+			}
+			now = now.Add(time.Second)
+		}
+		if math.Abs(sum-c.granted) > 0.1 || last.Minority != c.minority {
+			t.Errorf("%s: %.1f requests/s granted, minority %t; want %.1f, %t", c.name, sum, last.Minority, c.granted, c.minority)
+		}
+	}
+
+	l := NewLocal("c", start)
+	l.SetInstances(3)
+	for _, c := range []struct {
+		after time.Duration
+		want  float64
+	}{{Validity, 100}, {aloneFull, 100}, {aloneFull + aloneFall/2, 75}, {aloneFull + aloneFall, 50}, {time.Hour, 50}} {
+		now := start.Add(c.after)
+		l.Report([]string{"o"}, fixed(limits), now)
+		if got := l.rows["o"].requests.rate; got != c.want {
+			t.Errorf("%g requests/s after %s, want %g", got, c.after, c.want)
+		}
+		l.rows["o"].reached = start
+	}
+}
+
 type transport struct {
 	dead  string
 	asked []string
--- a/internal/limit/limitsim/sim.go
+++ b/internal/limit/limitsim/sim.go
@@ -48,6 +48,8 @@
 	// PartitionFrom and PartitionTo bound a partition that cuts off a third of the instances from the others.
 	PartitionFrom time.Duration
 	PartitionTo   time.Duration
+	// Recut divides the instances into two new random sides at this interval; zero means never.
+	Recut time.Duration
 	// Warmup is left out of the figures.
 	Warmup time.Duration
 	Length time.Duration
@@ -173,6 +175,9 @@
 			in.cutOff = i%3 == 0
 		}
 	}
+	if r.due(r.Recut) {
+		r.recut()
+	}
 	if r.PartitionTo > 0 && r.elapsed() == r.PartitionTo {
 		for _, in := range r.alive {
 			in.cutOff = false
@@ -180,6 +185,14 @@
 	}
 }
 
+// recut divides the live instances into two sides of random sizes; one of them may be empty.
+func (r *run) recut() {
+	size := r.random.IntN(len(r.alive))
+	for place, index := range r.random.Perm(len(r.alive)) {
+		r.alive[index].cutOff = place < size
+	}
+}
+
 // shuffle gives the live instances new weights.
 func (r *run) shuffle() {
 	order := r.random.Perm(len(r.alive))
--- a/internal/limit/limitsim/sim_test.go
+++ b/internal/limit/limitsim/sim_test.go
@@ -53,8 +53,7 @@
 	}
 }
 
-// Guards against a dead instance whose kept-back part brings the organisation more than 5% below its limit. Known red, see
-// KNOWN-RED.txt: one dead instance of 6 costs 6.1% until its registration ends.
+// Guards against a dead instance whose kept-back part brings the organisation more than 5% below its limit.
 func TestLimitErrorWithDeadInstance(t *testing.T) {
 	for _, s := range scenarios {
 		if s.dead {
@@ -90,6 +89,26 @@
 	}
 }
 
+// Guards against sides of a partition that use more than the limit together, because the allocator of the larger one no longer
+// keeps back what the smaller one uses. New cuts come while instances still reckon with the sides of the last one.
+func TestLimitErrorWithMovingCuts(t *testing.T) {
+	seeds := []uint64{2, 6, 10, 25} // exceeded the bound before the rules on learning and minorities
+	if os.Getenv("CICADAWALL_MEASURE") != "" {
+		for seed := range uint64(300) {
+			seeds = append(seeds, seed)
+		}
+	}
+	for _, seed := range seeds {
+		for _, interval := range []time.Duration{2 * time.Second, 5 * time.Second, 20 * time.Second} {
+			c := fleet(6, 300)
+			c.Skew, c.Seed, c.Recut = 1, seed, interval
+			if got := Run(c); got.Requests.Highest > 1+target {
+				t.Errorf("seed %d, a cut every %s: %.3f of the limit in 10 s", seed, interval, got.Requests.Highest)
+			}
+		}
+	}
+}
+
 // Guards against token limits that count requests, or are exceeded by large requests.
 func TestTokenLimit(t *testing.T) {
 	c := fleet(6, 300)
--- a/internal/limit/local.go
+++ b/internal/limit/local.go
@@ -46,6 +46,8 @@
 	spent        float64
 	acknowledged float64
 	known        float64
+	// reached is the start of the last report that was answered by an allocator that hears at least half of the instances.
+	reached time.Time
 }
 
 // Local is the table of this instance's part of the limits. It is safe for concurrent use.
@@ -137,14 +139,15 @@
 }
 
 func (l *Local) demand(organisation string, u *usage, now time.Time) api.Demand {
+	held := l.held(u, now)
 	return api.Demand{
 		Organisation:          organisation,
 		RequestsPerSecond:     u.asked.read(now),
 		TokensPerSecond:       max(0, u.askedTok.read(now)),
 		CostPerSecond:         max(0, u.paid.read(now)),
 		Holds:                 now.Before(u.share.expires),
-		HeldRequestsPerSecond: u.requests.rate,
-		HeldTokensPerSecond:   u.tokens.rate,
+		HeldRequestsPerSecond: held.Requests,
+		HeldTokensPerSecond:   held.Tokens,
 		HeldCost:              max(0, l.mayReach(u, now)-u.spent),
 		Day:                   u.day,
 		Spent:                 u.spent,
@@ -166,6 +169,9 @@
 		}
 		u.share.expires = expires
 		u.share.rates = Rates{Requests: g.RequestsPerSecond, Tokens: g.TokensPerSecond}
+		if !g.Minority {
+			u.reached = sent
+		}
 		u.startDay(dayOf(now))
 		if g.Day == u.day {
 			u.share.mayReach = g.AcknowledgedSpent + g.Cost
@@ -179,7 +185,7 @@
 func (l *Local) row(organisation string, limit Limits, now time.Time) *usage {
 	u, ok := l.rows[organisation]
 	if !ok {
-		u = &usage{day: dayOf(now)}
+		u = &usage{day: dayOf(now), reached: now}
 		u.asked.last, u.askedTok.last, u.paid.last = now, now, now
 		if l.alone(now) > 0 {
 			// A limit that is new to an instance that is not new itself starts with a full bucket, which refresh cuts to the
@@ -202,17 +208,26 @@
 	}
 }
 
-// refresh sets the buckets to the share in force: that of the grant, or limit/n without one.
+// refresh sets the buckets to the share in force: that of the grant, or limit/n without one. Both fall while no allocator
+// that hears half of the instances is reached.
 func (l *Local) refresh(u *usage, now time.Time) {
-	rates := u.limit.times(l.alone(now))
-	if now.Before(u.share.expires) {
-		rates = u.share.rates.min(u.limit.Rates)
+	rates := l.held(u, now)
+	if l.instances > 1 {
+		rates = rates.times(aloneAfter(now.Sub(u.reached)))
 	}
 	equal := u.limit.times(1 / float64(l.instances))
 	u.requests.set(rates.Requests, max(minBurst, equal.Requests*burstWindow.Seconds()), now)
 	u.tokens.set(rates.Tokens, equal.Tokens*burstWindow.Seconds(), now)
 }
 
+// held returns the share of the grant, or limit/n without one.
+func (l *Local) held(u *usage, now time.Time) Rates {
+	if now.Before(u.share.expires) {
+		return u.share.rates.min(u.limit.Rates)
+	}
+	return u.limit.times(l.alone(now))
+}
+
 // alone returns the part of a limit that this instance uses without a grant.
 func (l *Local) alone(now time.Time) float64 {
 	if now.Sub(l.started) < Validity {
--- a/internal/limit/summary.go
+++ b/internal/limit/summary.go
@@ -9,8 +9,9 @@
 	// The rest is there for instances that have just started.
 	spread = 0.75
 	// overlap is the factor of the limit up to which shares that are about to end and shares that replace them may add up.
-	// The wanted shares add up to the limit. In a trial without the overlap, noise in the demand kept 5% of the limit idle.
-	overlap = 1.04
+	// The wanted shares add up to the limit. Without the overlap, noise in the demand kept 5% of the limit idle; at 1.04,
+	// partitions that change every 5 s reached 5.3% above the limit in 2 of 900 runs.
+	overlap = 1.03
 	// summaryAge is the age up to which a summary is used, so that the cost of the sums does not grow with the number of
 	// reports.
 	summaryAge = 50 * time.Millisecond
@@ -38,15 +39,39 @@
 	}
 	*s = summary{at: now, limit: limit, members: len(acc.members), capacity: limit}
 	s.alone = limit.times(1 / float64(s.members))
+	acc.countHeard(now)
 	for _, m := range acc.members {
-		m.counts = m.mayUse(s.alone, now)
+		m.counts = acc.mayUse(m, s.alone, now)
 		s.used = s.used.plus(m.counts)
-		if m.heard.IsZero() || now.Sub(m.heard) > Validity {
-			s.capacity = s.capacity.minus(s.alone)
+		if m.silent(now) {
+			s.capacity = s.capacity.minus(m.counts)
 			continue
 		}
 		s.demand = s.demand.plus(m.demand)
-		s.heard++
+	}
+}
+
+// countHeard counts the heard instances and notes since when they are the majority.
+func (acc *account) countHeard(now time.Time) {
+	for _, m := range acc.members {
+		if !m.silent(now) {
+			acc.sum.heard++
+		}
+	}
+	half := float64(len(acc.members)) / 2
+	acc.halfSince = since(acc.halfSince, acc.sum.heard >= half, now)
+	acc.majoritySince = since(acc.majoritySince, acc.sum.heard > half, now)
+}
+
+// since returns the time since which a condition holds, zero if it does not.
+func since(before time.Time, holds bool, now time.Time) time.Time {
+	switch {
+	case !holds:
+		return time.Time{}
+	case before.IsZero():
+		return now
+	default:
+		return before
 	}
 }
 
