--- a/internal/standin/rowstore/http.go
+++ b/internal/standin/rowstore/http.go
@@ -18,6 +18,8 @@
 	lateBy = 300 * time.Millisecond
 	// maxValueBytes bounds a row written on the administrators' path.
 	maxValueBytes = 1 << 20
+	// maxTransactionBytes bounds a transaction: the platform's limit of 1 MB, with room for base64 and field names.
+	maxTransactionBytes = 2 << 20
 )
 
 // Handler returns the store's HTTP interface. Administrators write rows and faults below /standin/v1.
@@ -59,23 +61,32 @@
 	case FaultSilent:
 		<-c.Request().Context().Done()
 		common.CloseConnection()
-	case FaultNone, FaultLost, FaultLate:
+	case FaultNone, FaultLost, FaultLate, FaultHeld:
 	}
 	return false, nil
 }
 
 func (s *Store) transact(c echo.Context) error {
 	fault := s.enter()
+	// The body is read first: the server notices a closed connection only after that, and a silent answer waits for it.
+	body, err := io.ReadAll(io.LimitReader(c.Request().Body, maxTransactionBytes))
+	if err != nil {
+		return c.NoContent(http.StatusBadRequest)
+	}
 	if failed, err := s.failed(c, fault); failed {
 		return err
 	}
 	var transaction wire.Transaction
-	if err := json.NewDecoder(c.Request().Body).Decode(&transaction); err != nil {
+	if err := json.Unmarshal(body, &transaction); err != nil {
 		return c.NoContent(http.StatusBadRequest)
 	}
-	if fault == FaultLate {
+	switch fault {
+	case FaultLate:
 		time.AfterFunc(lateBy, func() { s.apply(transaction) })
 		common.CloseConnection()
+	case FaultHeld:
+		s.hold(transaction)
+		common.CloseConnection()
 	}
 	reply, done := s.apply(transaction)
 	if fault == FaultLost {
--- a/internal/standin/rowstore/rowstore.go
+++ b/internal/standin/rowstore/rowstore.go
@@ -14,7 +14,8 @@
 // Fault is what the store does instead of answering.
 type Fault string
 
-// Faults. Lost answers belong to transactions that were done; late ones are done after the caller has given up.
+// Faults. Lost answers belong to transactions that were done; late ones are done after the caller has given up, held ones when
+// Release is called.
 const (
 	FaultNone   Fault = ""
 	FaultBusy   Fault = "busy"
@@ -23,6 +24,7 @@
 	FaultSilent Fault = "silent"
 	FaultLost   Fault = "lost"
 	FaultLate   Fault = "late"
+	FaultHeld   Fault = "held"
 )
 
 // rowName names a row.
@@ -35,11 +37,17 @@
 	mu      *lockorder.Mutex
 	version int64
 	// oldest is the version below which history is gone.
-	oldest  int64
-	rows    map[rowName]wire.Row
+	oldest int64
+	rows   map[rowName]wire.Row
+	// history holds every version of the rows, in order.
+	history []wire.Row
 	changed chan struct{}
 	fault   Fault
 	calls   int
+	// held are the transactions of FaultHeld that are not done yet.
+	held []wire.Transaction
+	// longestWait bounds the waits for changes; zero means that they last as long as they are asked for.
+	longestWait time.Duration
 }
 
 // New returns an empty store.
@@ -56,6 +64,38 @@
 	s.fault = fault
 }
 
+// LimitWaits ends waits for changes earlier than they are asked for, so that a test that makes one call after another does
+// not wait.
+func (s *Store) LimitWaits(longest time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.longestWait = longest
+}
+
+// Release does the transactions that FaultHeld kept back, the latest first.
+func (s *Store) Release() {
+	s.mu.Lock()
+	held := s.held
+	s.held = nil
+	s.mu.Unlock()
+	for i := len(held) - 1; i >= 0; i-- {
+		s.apply(held[i])
+	}
+}
+
+// History returns all versions that rows of a table had, in order.
+func (s *Store) History(table string) []wire.Row {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var rows []wire.Row
+	for _, row := range s.history {
+		if row.Table == table {
+			rows = append(rows, row)
+		}
+	}
+	return rows
+}
+
 // Calls returns the number of calls so far.
 func (s *Store) Calls() int {
 	s.mu.Lock()
@@ -110,20 +150,23 @@
 	}
 	s.version++
 	for _, p := range t.Puts {
-		s.rows[rowName{p.Table, p.Partition, p.Key}] = wire.Row{
-			Table: p.Table, Partition: p.Partition, Key: p.Key, Value: p.Value, RowVersion: s.version,
-		}
+		s.set(wire.Row{Table: p.Table, Partition: p.Partition, Key: p.Key, Value: p.Value, RowVersion: s.version})
 	}
 	for _, r := range t.Remove {
-		name := rowName{r.Table, r.Partition, r.Key}
-		if _, ok := s.rows[name]; ok {
-			s.rows[name] = wire.Row{Table: r.Table, Partition: r.Partition, Key: r.Key, RowVersion: s.version, Deleted: true}
+		if _, ok := s.rows[rowName{r.Table, r.Partition, r.Key}]; ok {
+			s.set(wire.Row{Table: r.Table, Partition: r.Partition, Key: r.Key, RowVersion: s.version, Deleted: true})
 		}
 	}
 	s.wake()
 	return s.reply(nil), true
 }
 
+// set records a row's new version. The caller holds the lock.
+func (s *Store) set(row wire.Row) {
+	s.rows[rowName{row.Table, row.Partition, row.Key}] = row
+	s.history = append(s.history, row)
+}
+
 // wake ends the waits of feeds. The caller holds the lock.
 func (s *Store) wake() {
 	close(s.changed)
@@ -165,6 +208,11 @@
 // changes returns the rows of a table that changed after a version, waiting for the first. It reports false if the history
 // is gone.
 func (s *Store) changes(ctx context.Context, table string, after int64, wait time.Duration) (wire.RowsReply, bool) {
+	s.mu.Lock()
+	if s.longestWait > 0 {
+		wait = min(wait, s.longestWait)
+	}
+	s.mu.Unlock()
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
@@ -195,3 +243,10 @@
 	s.calls++
 	return s.fault
 }
+
+// hold keeps a transaction back until Release is called.
+func (s *Store) hold(t wire.Transaction) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.held = append(s.held, t)
+}
