--- a/internal/migration/migration.go
+++ b/internal/migration/migration.go
@@ -48,10 +48,11 @@
 	// trialPart is the part of the exposure that is spent before the rise.
 	trialPart = 0.15
 	// riseFrom, riseTo and completeAt are the distances from the deadline, in exposures, at which the share starts to rise,
-	// at which it is 1, and at which the old version may end.
+	// at which it is 1, and at which the old version may end. The last one leaves 0.8 s of 24 s at an exposure of 0.1: an order
+	// is learnt up to 0.3 s late, the decision waits up to 0.3 s, and the write takes time.
 	riseFrom   = 0.7
 	riseTo     = 0.35
-	completeAt = 0.2
+	completeAt = 0.33
 	// trialStart is the part of the duration at which the first sessions move; until its half they must not.
 	trialStart = 0.51
 	// earlyStart is the part of the duration at which requests without a session start to move. Until then the new servers
--- a/internal/migration/migration_test.go
+++ b/internal/migration/migration_test.go
@@ -156,3 +156,29 @@
 		}
 	}
 }
+
+// Guards against a good version that is completed after the deadline, because the order was learnt late, the decision waits for its
+// duty and the write takes time; and against old servers that end while they still get sessions.
+func TestGoodVersionIsCompletedInTime(t *testing.T) {
+	const learnt, duty, write = 300 * time.Millisecond, 300 * time.Millisecond, 150 * time.Millisecond
+	duration := 24 * time.Second
+	for _, exposure := range []float64{0.1, 0.2, 0.3} {
+		table := NewTable(exposure)
+		begun := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+		table.Order(Order{Service: "s", Target: "v2", Duration: duration, Revision: 1}, 0, begun.Add(learnt))
+		table.Recorded(Status{Service: "s", Target: "v2", State: StateRunning, Revision: 2})
+		last := begun.Add(duration - write)
+		if decisions := table.Decide(last); len(decisions) != 1 || decisions[0].Status.State != StateCompleted {
+			t.Errorf("exposure %g: not completed by the deadline: %+v", exposure, decisions)
+		}
+		if decisions := table.Decide(last.Add(-duty)); len(decisions) != 1 {
+			t.Errorf("exposure %g: a decision one duty earlier would not be completed", exposure)
+		}
+		for step := range 1000 {
+			part := float64(step) / 1000
+			if table.schedule.complete(part) && table.schedule.share(part, false) < 1 {
+				t.Errorf("exposure %g: completed at %g while sessions use the old version", exposure, part)
+			}
+		}
+	}
+}
