--- a/cmd/benchpolicy/main.go
+++ b/cmd/benchpolicy/main.go
@@ -14,11 +14,15 @@
 )
 
 type arguments struct {
-	Experiment []string `arg:"positional" help:"cost, early, bad, latency, subset, placement; all if none is given"`
+	Experiment []string `arg:"positional" help:"cost, early, bad, latency, subset, placement, platform; all if none is given"`
 	Seeds      int      `arg:"--seeds" default:"10" help:"number of seeds"`
 	Plots      string   `arg:"--plots" default:"docs/plots" help:"directory of the SVG files"`
+	Runs       string   `arg:"--runs" default:"docs/measurements/platform-runs.csv" help:"recorded runs on the users' bench, for platform"`
 }
 
+// platform plots runs that were recorded on the users' bench.
+const platform = "platform"
+
 type experiment struct {
 	name string
 	run  func(out io.Writer, plots string, seeds int) error
@@ -45,4 +49,10 @@
 			os.Exit(1)
 		}
 	}
+	if len(args.Experiment) == 0 || slices.Contains(args.Experiment, platform) {
+		if err := benchpolicy.Recorded(os.Stdout, args.Runs, args.Plots); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+	}
 }
--- /dev/null
+++ b/internal/benchpolicy/recorded.go
@@ -0,0 +1,98 @@
+package benchpolicy
+
+import (
+	"encoding/csv"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+
+	"github.com/pkg/errors"
+)
+
+// recordedRun is the result of one day on the users' bench, which runs outside this repository.
+type recordedRun struct {
+	policy, site, day string
+	seed              int
+	// worth and served are shares of the credit and of the requests.
+	worth, served float64
+}
+
+// Recorded prints a table of recorded runs and plots the mean worth of each policy on each site. The file has the columns policy,
+// site, day, seed, worth and served, with a header.
+func Recorded(out io.Writer, path, plots string) error {
+	file, err := os.Open(path)
+	if err != nil {
+		return errors.Wrap(err, "recorded runs")
+	}
+	runs, err := readRecorded(file)
+	err = errors.Wrapf(err, "recorded runs in %s", path)
+	if closed := file.Close(); err == nil {
+		err = closed
+	}
+	if err != nil {
+		return err
+	}
+	fmt.Fprintln(out, "\n| site | policy | runs | worth | served |\n|---|---|---:|---:|---:|")
+	for _, site := range distinct(runs, func(r recordedRun) string { return r.site }) {
+		names := distinct(runs, func(r recordedRun) string { return r.policy })
+		values := make([]float64, 0, len(names))
+		for _, policy := range names {
+			count, worth, served := 0, 0.0, 0.0
+			for _, r := range runs {
+				if r.site == site && r.policy == policy {
+					count++
+					worth += r.worth
+					served += r.served
+				}
+			}
+			worth /= float64(max(1, count))
+			values = append(values, worth)
+			fmt.Fprintf(out, "| %s | %s | %d | %.3f | %.3f |\n", site, policy, count, worth, served/float64(max(1, count)))
+		}
+		title := site + ": mean worth of the days"
+		if err := bars(filepath.Join(plots, "worth-"+fileName(site)+".svg"), title, "share of the credit", names, values); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func readRecorded(in io.Reader) ([]recordedRun, error) {
+	lines, err := csv.NewReader(in).ReadAll()
+	if err != nil {
+		return nil, err
+	}
+	if len(lines) < 2 {
+		return nil, errors.New("there is no run")
+	}
+	runs := make([]recordedRun, 0, len(lines)-1)
+	for n, line := range lines[1:] {
+		if len(line) != 6 {
+			return nil, errors.Errorf("run %d has %d columns, want 6", n+1, len(line))
+		}
+		seed, seedErr := strconv.Atoi(line[3])
+		worth, worthErr := strconv.ParseFloat(line[4], 64)
+		served, servedErr := strconv.ParseFloat(line[5], 64)
+		for _, err := range []error{seedErr, worthErr, servedErr} {
+			if err != nil {
+				return nil, errors.Wrapf(err, "run %d", n+1)
+			}
+		}
+		runs = append(runs, recordedRun{policy: line[0], site: line[1], day: line[2], seed: seed, worth: worth, served: served})
+	}
+	return runs, nil
+}
+
+// distinct returns the values of a column in the order of their first run.
+func distinct(runs []recordedRun, column func(recordedRun) string) []string {
+	var values []string
+	for _, r := range runs {
+		if value := column(r); !slices.Contains(values, value) {
+			values = append(values, value)
+		}
+	}
+	return values
+}
