--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -97,7 +97,6 @@
 		return run, fault.NotRun(fault.StepDecode, fault.CodeUnknownService, "no route for this host and path")
 	}
 	run.route = route
-	run.organisation = ""
 	priority := route.Priority
 	if configuration.NeedsKey(route) {
 		organisation := configuration.Organisation(request.Key)
