Take a peer's list of servers only if it is as new as one's own

Cause: an instance that the store refuses took every server that was missing from a peer's list for leaving. A peer that the store answers may still be behind by its pause after a change (350 ms); the store's feed then never sends the row again, so the server got no more requests from that instance. Found while the state-machine test was extended with real exchanges.

Change: the newest row of the list is compared with the own one and with that of the last list taken.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -72,6 +72,8 @@
 
 	mu    *lockorder.Mutex
 	peers map[string]string
+	// mergedRow is the newest row of the servers' table in the lists that were taken from peers.
+	mergedRow int64
 	// lost holds since when a peer has not answered.
 	lost map[string]time.Time
 	// most is the largest number of instances known at once. An instance that hears no other still shares with them.
--- a/internal/exchange/merge.go
+++ b/internal/exchange/merge.go
@@ -30,12 +30,25 @@
 		loads[l.Server] = backend.Load{Running: l.Running, PendingTokens: l.PendingTokens}
 	}
 	e.Directory.Peer(state.Incarnation, loads, e.Instances(), now)
-	if behind && state.ServersKnown {
+	if behind && state.ServersKnown && e.takeServers(state.ServersRow) {
 		e.mergeServers(state.Servers, now)
 	}
 	return lagging
 }
 
+// takeServers reports whether a list of servers up to the row is as new as what this instance knows, and notes it. An older
+// list lacks servers that have come since, and they would be taken for leaving.
+func (e *Exchange) takeServers(row int64) bool {
+	known := e.Servers.LastRow()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if row < max(known, e.mergedRow) {
+		return false
+	}
+	e.mergedRow = row
+	return true
+}
+
 // mergeCounts takes the counts of a peer.
 func (e *Exchange) mergeCounts(incarnation string, told []api.GatewayCount) {
 	if len(told) == 0 {
