Judge a version by the answers since its order only

Cause: an instance that reads a new order drops its counts, but took those that a peer still had from the earlier order of the same target. A version that is ordered again was rolled back for its earlier answers.

Change: counts are kept and exchanged with the revision of their order.

Figures: TestEvidenceOfEarlierOrder fails without the comparison and passes with it. Ruled out: dropping the peers' counts at a new order, which was already done; the peer tells them again.

--- a/internal/api/peer.gen.go
+++ b/internal/api/peer.gen.go
@@ -195,9 +195,12 @@
 	LogSquares float64 `json:"logSquares,omitempty" yaml:"logSquares,omitempty"`
 
 	// LogSum Sum of the natural logarithms of the answer times in milliseconds.
-	LogSum  float64 `json:"logSum,omitempty" yaml:"logSum,omitempty"`
-	Service string  `json:"service" yaml:"service"`
-	Version string  `json:"version" yaml:"version"`
+	LogSum float64 `json:"logSum,omitempty" yaml:"logSum,omitempty"`
+
+	// OrderRevision Revision of the order since which the answers are counted.
+	OrderRevision int64  `json:"orderRevision,omitempty" yaml:"orderRevision,omitempty"`
+	Service       string `json:"service" yaml:"service"`
+	Version       string `json:"version" yaml:"version"`
 }
 
 // GatewayInstance Value of the row by which an instance is found.
@@ -323,7 +326,7 @@
 	// Day Days since 1970-01-01 UTC for which the cost figures hold.
 	Day int64 `json:"day,omitempty" yaml:"day,omitempty"`
 
-	// Minority The allocator hears from less than half of the registered instances.
+	// Minority The allocator has not heard half of the registered instances for 3 s.
 	Minority          bool    `json:"minority,omitempty" yaml:"minority,omitempty"`
 	Organisation      string  `json:"organisation" yaml:"organisation"`
 	RequestsPerSecond float64 `json:"requestsPerSecond,omitempty" yaml:"requestsPerSecond,omitempty"`
--- a/internal/exchange/merge.go
+++ b/internal/exchange/merge.go
@@ -56,7 +56,7 @@
 	}
 	counts := make(map[migration.Key]migration.Count, len(told))
 	for _, c := range told {
-		key := migration.Key{Service: c.Service, Version: c.Version, Class: c.Class}
+		key := migration.Key{Service: c.Service, Version: c.Version, Class: c.Class, Order: c.OrderRevision}
 		counts[key] = migration.Count{Answers: c.Answers, Bad: c.Bad, LogSum: c.LogSum, LogSquares: c.LogSquares}
 	}
 	e.Migrations.Peer(incarnation, counts)
--- a/internal/exchange/state.go
+++ b/internal/exchange/state.go
@@ -50,7 +50,7 @@
 	var counts []api.GatewayCount
 	for key, count := range e.Migrations.Own() {
 		counts = append(counts, api.GatewayCount{
-			Service: key.Service, Version: key.Version, Class: key.Class, Answers: count.Answers, Bad: count.Bad,
+			Service: key.Service, OrderRevision: key.Order, Version: key.Version, Class: key.Class, Answers: count.Answers, Bad: count.Bad,
 			LogSum: count.LogSum, LogSquares: count.LogSquares,
 		})
 	}
--- a/internal/migration/decide.go
+++ b/internal/migration/decide.go
@@ -36,7 +36,7 @@
 }
 
 func (t *Table) decide(service string, r *row, now time.Time) (Decision, bool) {
-	fresh, old, bad := t.compare(service, r.order.Target)
+	fresh, old, bad := t.compare(r.order)
 	if bad {
 		r.suspect = true
 	}
@@ -55,15 +55,15 @@
 	return decision, true
 }
 
-// compare sums the evidence of all instances and tests it, as a whole and for each class.
-func (t *Table) compare(service, target string) (fresh, old Count, bad bool) {
+// compare sums the evidence of all instances since the order and tests it, as a whole and for each class.
+func (t *Table) compare(order Order) (fresh, old Count, bad bool) {
 	freshBy, oldBy := map[string]Count{}, map[string]Count{}
 	add := func(counts map[Key]Count) {
 		for key, count := range counts {
-			if key.Service != service {
+			if key.Service != order.Service || key.Order != order.Revision {
 				continue
 			}
-			if key.Version == target {
+			if key.Version == order.Target {
 				freshBy[key.Class] = freshBy[key.Class].plus(count)
 				fresh = fresh.plus(count)
 				continue
--- a/internal/migration/migration_test.go
+++ b/internal/migration/migration_test.go
@@ -182,3 +182,32 @@
 		}
 	}
 }
+
+// Guards against a version that is rolled back for answers from before its order, which a peer that has not read the order yet
+// still tells.
+func TestEvidenceOfEarlierOrder(t *testing.T) {
+	begun := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	peer, table := NewTable(0.1), NewTable(0.1)
+	first := Order{Service: "s", Target: "v2", Duration: time.Minute, Revision: 1}
+	for _, other := range []*Table{peer, table} {
+		other.Order(first, 0, begun)
+	}
+	for range 20 {
+		peer.Observe("s", "v2", "c", true, time.Millisecond)
+	}
+	again := first
+	again.Revision = 5
+	table.Order(again, 0, begun.Add(time.Second))
+	table.Peer("peer", peer.Own())
+	if decisions := table.Decide(begun.Add(2 * time.Second)); len(decisions) != 1 || decisions[0].Status.State != StateRunning {
+		t.Errorf("%+v", decisions)
+	}
+	peer.Order(again, 0, begun.Add(time.Second))
+	for range 20 {
+		peer.Observe("s", "v2", "c", true, time.Millisecond)
+	}
+	table.Peer("peer", peer.Own())
+	if decisions := table.Decide(begun.Add(3 * time.Second)); len(decisions) != 1 || decisions[0].Status.State != StateRolledBack {
+		t.Errorf("%+v", decisions)
+	}
+}
--- a/internal/migration/table.go
+++ b/internal/migration/table.go
@@ -7,8 +7,13 @@
 	"github.com/cicadawall/cicadawall/internal/lockorder"
 )
 
-// Key names the counter of one version on requests of one class.
-type Key struct{ Service, Version, Class string }
+// Key names the counter of one version on requests of one class since an order.
+type Key struct {
+	Service, Version, Class string
+	// Order is the revision of the order. Peers learn of an order at different times, and a version that is ordered again is
+	// judged anew.
+	Order int64
+}
 
 // row is one service's migration.
 type row struct {
@@ -207,10 +212,11 @@
 func (t *Table) Observe(service, version, class string, bad bool, took time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if _, ok := t.rows[service]; !ok {
+	r, ok := t.rows[service]
+	if !ok {
 		return
 	}
-	key := Key{Service: service, Version: version, Class: class}
+	key := Key{Service: service, Version: version, Class: class, Order: r.order.Revision}
 	count := t.own[key]
 	count.Answers++
 	if bad {
