--- a/internal/gateway/cost_test.go
+++ b/internal/gateway/cost_test.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/cicadawall/cicadawall/internal/backend"
-	"github.com/cicadawall/cicadawall/internal/retry"
 	"github.com/cicadawall/cicadawall/internal/telemetry"
 )
 
@@ -30,23 +29,9 @@
 				"/look/": {act{body: "x"}}, "/chat/": {act{confidence: 90, events: []int{1, 2, 3, 4, 5, 6, 7, 8}}},
 			} {
 				b.Run(fmt.Sprintf("servers=%d/log=%s/%s", servers, level, path[1:5]), func(b *testing.B) {
-					configurations := NewConfigurations()
-					configurations.Adopt(configuration())
-					directory := backend.NewDirectory()
-					for n := range servers {
-						id := fmt.Sprint(n)
-						directory.Put(backend.Entry{ID: id, Service: "desk", Address: id, Slots: 16, AvailabilityZone: "z"}, time.Now())
-					}
 					out := telemetry.NewAsyncWriter(io.Discard)
 					defer out.Flush()
-					g := New(Options{
-						AvailabilityZone: "z", Configurations: configurations, Directory: directory, Backends: asked, Versions: still{},
-						Budget: retry.NewSharedBudget(retry.SharedOptions{
-							Ratio: 0.9, Slack: 20, Window: 10 * time.Second, Instances: func() int { return 1 },
-						}),
-						Instances: func() int { return 1 }, Metrics: NewMetrics(telemetry.NewMetrics()),
-						Log: telemetry.NewLogger(out, "i", level),
-					})
+					g := newGateway(servers, asked, telemetry.NewLogger(out, "i", level))
 					defer g.Stop()
 					b.ReportAllocs()
 					for b.Loop() {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -125,26 +125,31 @@
 	}).Compile()
 }
 
+// newGateway returns a gateway before a number of servers.
+func newGateway(servers int, backends Backends, log *slog.Logger) *Gateway {
+	configurations := NewConfigurations()
+	configurations.Adopt(configuration())
+	directory := backend.NewDirectory()
+	for n := range servers {
+		id := strconv.Itoa(n)
+		directory.Put(backend.Entry{ID: id, Service: "desk", Address: id, Slots: 4}, time.Now())
+	}
+	return New(Options{
+		AvailabilityZone: "z", Configurations: configurations, Directory: directory, Backends: backends, Versions: still{},
+		Budget: retry.NewSharedBudget(retry.SharedOptions{
+			Ratio: 0.9, Slack: 20, Window: 10 * time.Second, Instances: func() int { return 1 },
+		}),
+		Instances: func() int { return 1 }, Metrics: NewMetrics(telemetry.NewMetrics()), Log: log,
+	})
+}
+
 // ask runs one request against the acts in virtual time.
 func ask(t *testing.T, path, key string, acts ...act) (*caller, *servers, time.Duration) {
 	t.Helper()
 	answered, asked := &caller{}, &servers{acts: acts}
 	var took time.Duration
 	synctest.Test(t, func(t *testing.T) {
-		configurations := NewConfigurations()
-		configurations.Adopt(configuration())
-		directory := backend.NewDirectory()
-		for _, id := range []string{"a", "b", "c", "d"} {
-			directory.Put(backend.Entry{ID: id, Service: "desk", Address: id, Slots: 4}, time.Now())
-		}
-		g := New(Options{
-			AvailabilityZone: "z", Configurations: configurations, Directory: directory, Backends: asked, Versions: still{},
-			Budget: retry.NewSharedBudget(retry.SharedOptions{
-				Ratio: 0.9, Slack: 20, Window: 10 * time.Second, Instances: func() int { return 1 },
-			}),
-			Instances: func() int { return 1 }, Metrics: NewMetrics(telemetry.NewMetrics()),
-			Log: slog.New(slog.NewJSONHandler(io.Discard, nil)),
-		})
+		g := newGateway(4, asked, slog.New(slog.NewJSONHandler(io.Discard, nil)))
 		begun := time.Now()
 		g.Serve(t.Context(), &Request{ID: "r", Host: "h", Path: path, Key: key, AnyModel: true, Model: "*", Arrived: begun}, answered)
 		took = time.Since(begun)
