--- a/internal/configsync/faults_test.go
+++ b/internal/configsync/faults_test.go
@@ -129,8 +129,10 @@
 		if got := c.nodes[0].apply(1, "second", document(2)); got.State != api.ApplyUnavailable {
 			t.Errorf("change during the outage: %+v", got)
 		}
-		restarted := c.start(0)
+		// It is cut off before it runs: its first read must not come before the cut.
+		restarted := c.add(0)
 		restarted.cut.Store(true)
+		restarted.run()
 		c.wait(15 * time.Second)
 		c.expect("an instance started during the outage", []*node{restarted}, 1)
 		if restarted.peers.Reporting() {
