--- a/cmd/benchpolicy/main.go
+++ b/cmd/benchpolicy/main.go
@@ -20,27 +20,27 @@
 	Runs       string   `arg:"--runs" default:"docs/measurements/platform-runs.csv" help:"recorded runs on the users' bench, for platform"`
 }
 
-// platform plots runs that were recorded on the users' bench.
-const platform = "platform"
-
 type experiment struct {
 	name string
 	run  func(out io.Writer, plots string, seeds int) error
 }
 
-var experiments = []experiment{
-	{"cost", benchpolicy.Cost},
-	{"early", benchpolicy.Early},
-	{"bad", benchpolicy.Bad},
-	{"latency", benchpolicy.Latency},
-	{"subset", benchpolicy.Subset},
-	{"placement", benchpolicy.Placement},
+func experiments(runs string) []experiment {
+	return []experiment{
+		{"cost", benchpolicy.Cost},
+		{"early", benchpolicy.Early},
+		{"bad", benchpolicy.Bad},
+		{"latency", benchpolicy.Latency},
+		{"subset", benchpolicy.Subset},
+		{"placement", benchpolicy.Placement},
+		{"platform", func(out io.Writer, plots string, _ int) error { return benchpolicy.Recorded(out, runs, plots) }},
+	}
 }
 
 func main() {
 	var args arguments
 	arg.MustParse(&args)
-	for _, e := range experiments {
+	for _, e := range experiments(args.Runs) {
 		if len(args.Experiment) > 0 && !slices.Contains(args.Experiment, e.name) {
 			continue
 		}
@@ -49,10 +49,4 @@
 			os.Exit(1)
 		}
 	}
-	if len(args.Experiment) == 0 || slices.Contains(args.Experiment, platform) {
-		if err := benchpolicy.Recorded(os.Stdout, args.Runs, args.Plots); err != nil {
-			fmt.Fprintln(os.Stderr, err)
-			os.Exit(1)
-		}
-	}
 }
--- a/internal/architecture/architecture_test.go
+++ b/internal/architecture/architecture_test.go
@@ -2,6 +2,7 @@
 package architecture
 
 import (
+	"go/ast"
 	"go/parser"
 	"go/token"
 	"io/fs"
@@ -95,6 +96,47 @@
 	}
 }
 
+// Guards against a connection to a peer whose certificate nobody verifies: where the standard verification is replaced, the same
+// configuration must verify the connection.
+func TestPeersAreVerified(t *testing.T) {
+	found := 0
+	for _, dir := range reachable(t, "cmd/cicadawall") {
+		for file := range imports(t, dir) {
+			parsed, err := parser.ParseFile(token.NewFileSet(), file, nil, 0)
+			if err != nil {
+				t.Fatal(err)
+			}
+			ast.Inspect(parsed, func(node ast.Node) bool {
+				if named, ok := node.(*ast.Ident); ok && named.Name == "InsecureSkipVerify" {
+					found++
+				}
+				literal, ok := node.(*ast.CompositeLit)
+				if !ok {
+					return true
+				}
+				var keys []string
+				for _, element := range literal.Elts {
+					if pair, ok := element.(*ast.KeyValueExpr); ok {
+						if key, ok := pair.Key.(*ast.Ident); ok {
+							keys = append(keys, key.Name)
+						}
+					}
+				}
+				if slices.Contains(keys, "InsecureSkipVerify") {
+					found--
+					if !slices.Contains(keys, "VerifyConnection") {
+						t.Errorf("%s replaces the verification of peers by none", file)
+					}
+				}
+				return true
+			})
+		}
+	}
+	if found != 0 {
+		t.Errorf("InsecureSkipVerify is set %d times outside a literal, where this test cannot follow it", found)
+	}
+}
+
 // reachable returns the directories of the module that a package imports, itself included.
 func reachable(t *testing.T, dir string) []string {
 	t.Helper()
--- a/internal/benchpolicy/recorded.go
+++ b/internal/benchpolicy/recorded.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/csv"
+	stderrors "errors"
 	"fmt"
 	"io"
 	"os"
@@ -12,14 +13,16 @@
 	"github.com/pkg/errors"
 )
 
-// recordedRun is the result of one day on the users' bench, which runs outside this repository.
+// recordedRun is the result of one day on the users' bench, which runs outside this repository. Worth and served are shares of
+// the credit and of the requests.
 type recordedRun struct {
-	policy, site, day string
-	seed              int
-	// worth and served are shares of the credit and of the requests.
+	policy, site  string
 	worth, served float64
 }
 
+// recordedColumns are policy, site, day, seed, worth and served.
+const recordedColumns = 6
+
 // Recorded prints a table of recorded runs and plots the mean worth of each policy on each site. The file has the columns policy,
 // site, day, seed, worth and served, with a header.
 func Recorded(out io.Writer, path, plots string) error {
@@ -28,12 +31,8 @@
 		return errors.Wrap(err, "recorded runs")
 	}
 	runs, err := readRecorded(file)
-	err = errors.Wrapf(err, "recorded runs in %s", path)
-	if closed := file.Close(); err == nil {
-		err = closed
-	}
-	if err != nil {
-		return err
+	if err := stderrors.Join(err, file.Close()); err != nil {
+		return errors.Wrapf(err, "recorded runs in %s", path)
 	}
 	fmt.Fprintln(out, "\n| site | policy | runs | worth | served |\n|---|---|---:|---:|---:|")
 	for _, site := range distinct(runs, func(r recordedRun) string { return r.site }) {
@@ -61,7 +60,9 @@
 }
 
 func readRecorded(in io.Reader) ([]recordedRun, error) {
-	lines, err := csv.NewReader(in).ReadAll()
+	reader := csv.NewReader(in)
+	reader.FieldsPerRecord = recordedColumns
+	lines, err := reader.ReadAll()
 	if err != nil {
 		return nil, err
 	}
@@ -70,18 +71,12 @@
 	}
 	runs := make([]recordedRun, 0, len(lines)-1)
 	for n, line := range lines[1:] {
-		if len(line) != 6 {
-			return nil, errors.Errorf("run %d has %d columns, want 6", n+1, len(line))
-		}
-		seed, seedErr := strconv.Atoi(line[3])
 		worth, worthErr := strconv.ParseFloat(line[4], 64)
 		served, servedErr := strconv.ParseFloat(line[5], 64)
-		for _, err := range []error{seedErr, worthErr, servedErr} {
-			if err != nil {
-				return nil, errors.Wrapf(err, "run %d", n+1)
-			}
+		if err := stderrors.Join(worthErr, servedErr); err != nil {
+			return nil, errors.Wrapf(err, "run %d", n+1)
 		}
-		runs = append(runs, recordedRun{policy: line[0], site: line[1], day: line[2], seed: seed, worth: worth, served: served})
+		runs = append(runs, recordedRun{policy: line[0], site: line[1], worth: worth, served: served})
 	}
 	return runs, nil
 }
--- a/internal/limit/allocator.go
+++ b/internal/limit/allocator.go
@@ -128,6 +128,9 @@
 	}
 }
 
+// learning reports whether shares of an earlier allocator may still be in use.
+func (acc *account) learning(now time.Time) bool { return now.Before(acc.learnUntil) }
+
 // sync adds registered instances and drops those that left and whose shares ended.
 func (acc *account) sync(members []string, reporter string, now time.Time) {
 	registered := make(map[string]bool, len(members)+1)
@@ -158,7 +161,7 @@
 	share := acc.share(id, d, limit.Rates, now)
 	cost := acc.cost(id, d, limit.CostPerDay, now)
 	validity := Validity
-	if d.Holds && now.Before(acc.learnUntil) {
+	if acc.learning(now) && d.Holds {
 		validity = 0 // the share of the earlier allocator runs out
 	}
 	return api.LimitGrant{
@@ -182,9 +185,9 @@
 	room := acc.sum.room(m)
 	var share Rates
 	switch {
-	case now.Before(acc.learnUntil) && d.Holds:
+	case acc.learning(now) && d.Holds:
 		share = held.min(limit)
-	case now.Before(acc.learnUntil):
+	case acc.learning(now):
 		share = acc.sum.alone.min(room)
 	default:
 		share = acc.sum.target(m.demand).min(room)
--- a/internal/limit/cost.go
+++ b/internal/limit/cost.go
@@ -42,7 +42,7 @@
 	remaining := max(0, limit-acc.total)
 	room := max(0, remaining-acc.costUsedByOthers(id, remaining/n, now))
 	amount := min(room, d.CostPerSecond*costAhead.Seconds()+costSpread*room/n)
-	if now.Before(acc.learnUntil) {
+	if acc.learning(now) {
 		amount = min(room, max(d.HeldCost, costSpread*room/n))
 	}
 	m.costUse = max(d.HeldCost, amount)
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -3,7 +3,7 @@
 // shares of the limit by demand. A share is valid for 3 s. An instance without a valid share uses limit/n, and the allocator
 // keeps that much back for each registered instance that it does not hear from, so that the sum stays within the limit
 // during partitions, whichever instances believe to be the allocator. On the side of a minority the rates fall to half within
-// 12 s, and the allocator of a majority keeps back less accordingly.
+// 10 s, and the allocator of a majority keeps back less accordingly.
 package limit
 
 import (
@@ -41,13 +41,6 @@
 	Tokens   float64 // per second
 }
 
-// aloneAfter returns the part of its rates that an instance keeps after the time without an allocator that hears half of the
-// fleet.
-func aloneAfter(silence time.Duration) float64 {
-	fallen := min(max(0, (silence-aloneFull).Seconds()/aloneFall.Seconds()), 1)
-	return 1 - fallen*(1-aloneLeast)
-}
-
 // Limits are an organisation's limits; zero means unlimited.
 type Limits struct {
 	Rates
@@ -123,3 +116,10 @@
 	}
 	return reportInterval
 }
+
+// aloneAfter returns the part of its rates that an instance keeps after the time without an allocator that hears half of the
+// fleet.
+func aloneAfter(silence time.Duration) float64 {
+	fallen := min(max(0, (silence-aloneFull).Seconds()/aloneFall.Seconds()), 1)
+	return 1 - fallen*(1-aloneLeast)
+}
--- a/internal/limit/limitsim/sim_test.go
+++ b/internal/limit/limitsim/sim_test.go
@@ -90,7 +90,7 @@
 }
 
 // Guards against sides of a partition that use more than the limit together, because the allocator of the larger one no longer
-// keeps back what the smaller one uses. New cuts come while instances still reckon with the sides of the last one.
+// keeps back what the smaller one uses. New cuts come while shares from before the last one are still in use.
 func TestLimitErrorWithMovingCuts(t *testing.T) {
 	seeds := []uint64{2, 6, 10, 25} // exceeded the bound before the rules on learning and minorities
 	if os.Getenv("CICADAWALL_MEASURE") != "" {
--- a/internal/migration/evidence.go
+++ b/internal/migration/evidence.go
@@ -97,16 +97,13 @@
 }
 
 // slow reports whether the answers take longer by the factor, and not by chance.
-func (d *delay) slow() bool {
-	if d.answers < slowAnswers {
-		return false
-	}
-	return d.shift/d.answers > slowShift && d.shift/math.Sqrt(d.variance) > slowScore
-}
+func (d *delay) slow() bool { return d.exceeds(slowShift, slowScore) }
 
 // doubtful reports whether the answers take longer by a factor that is not yet certain.
-func (d *delay) doubtful() bool {
-	return d.answers >= slowAnswers && d.shift/d.answers > doubtShift && d.shift/math.Sqrt(d.variance) > doubtScore
+func (d *delay) doubtful() bool { return d.exceeds(doubtShift, doubtScore) }
+
+func (d *delay) exceeds(shift, score float64) bool {
+	return d.answers >= slowAnswers && d.shift/d.answers > shift && d.shift/math.Sqrt(d.variance) > score
 }
 
 func worse(bad, answers, oldBad, oldAnswers int) bool {
--- a/internal/migration/table.go
+++ b/internal/migration/table.go
@@ -110,20 +110,13 @@
 	}
 }
 
-// forget drops the evidence on a service from before an order.
+// forget drops the own counts from before an order. Those of peers are replaced when the peers tell new ones.
 func (t *Table) forget(service string) {
 	for key := range t.own {
 		if key.Service == service {
 			delete(t.own, key)
 		}
 	}
-	for _, counts := range t.peers {
-		for key := range counts {
-			if key.Service == service {
-				delete(counts, key)
-			}
-		}
-	}
 }
 
 // Recorded takes the recorded state of a service's migration and reports whether it is news.
