Close the connection of a request that is given up with a reset

Cause: what is written and not acknowledged is delivered after the connection is closed.

Change: such connections are closed with SO_LINGER 0, so that the system drops what it holds.

--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -63,6 +63,16 @@
 	return failed
 }
 
+// abort closes the connection and drops what the system has not delivered yet. Else a request that was given up while its peer was
+// cut off arrives seconds later, when the peer may be leaving or another one has answered.
+func (c *conn) abort() {
+	if lingering, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		// It fails only on a connection that is closed already.
+		_ = lingering.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 // quiet reports whether nothing arrived while the connection was idle: no bytes that belong to no request, no end of the
 // stream and no reset.
 func (c *conn) quiet() bool {
--- a/internal/httpconn/exchange.go
+++ b/internal/httpconn/exchange.go
@@ -94,12 +94,12 @@
 		return nil, &Error{Cause: err}
 	}
 	x := &exchange{pool: p, conn: c, written: make(chan error, 1)}
-	x.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
+	x.stop = context.AfterFunc(ctx, c.abort)
 	x.write(request)
 	answer, err := x.read(request)
 	if err != nil {
 		x.stop()
-		_ = c.Close()
+		c.abort()
 		if cause := ctx.Err(); cause != nil {
 			err = errors.Wrap(cause, err.Error())
 		}
@@ -210,6 +210,10 @@
 		x.pool.put(x.conn)
 		return
 	}
+	if !r.ended {
+		x.conn.abort()
+		return
+	}
 	_ = x.conn.Close()
 }
 
--- a/internal/httpconn/httpconn_test.go
+++ b/internal/httpconn/httpconn_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -241,3 +242,40 @@
 	}
 	close(released)
 }
+
+// Guards against a request that is given up and still reaches its server later, when a cut heals: what the system has not delivered
+// must be dropped with the connection.
+func TestGivenUpRequestIsNotDelivered(t *testing.T) {
+	begun, givenUp, read := make(chan struct{}), make(chan struct{}), make(chan error, 1)
+	address := scripted(t, func(conn net.Conn, reader *bufio.Reader) {
+		if _, err := reader.ReadByte(); err != nil {
+			read <- nil
+			return
+		}
+		close(begun)
+		<-givenUp
+		if err := conn.SetReadDeadline(time.Now().Add(10 * time.Second)); err != nil {
+			read <- nil
+			return
+		}
+		_, err := io.Copy(io.Discard, reader)
+		read <- err
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-begun
+		cancel()
+	}()
+	// More than the buffers of both ends hold, so that a part is still to be delivered.
+	body := make([]byte, 32<<20)
+	head := "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n"
+	_, err := NewPool(Options{}).Do(ctx, Request{Address: address, Method: http.MethodPost, Head: []byte(head), Body: body})
+	var failed *Error
+	if !errors.As(err, &failed) || !failed.Sent {
+		t.Errorf("%v, want an error of a sent request", err)
+	}
+	close(givenUp)
+	if err := <-read; !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("the server read what had been given up, then: %v", err)
+	}
+}
