Read the servers table from relays in large fleets, and stop cancelling calls for rows that do not exist

Cause: each instance followed both tables of the store itself, so calls grew with the fleet. Also, a follower reported the version of a complete read as its newest row.

Only row versions that were seen are reported to peers, and an answer of the store counts as read through its version.

--- a/internal/api/peer.gen.go
+++ b/internal/api/peer.gen.go
@@ -211,8 +211,12 @@
 
 // GatewayInstance Value of the row that announces an instance to its peers.
 type GatewayInstance struct {
-	Incarnation string `json:"incarnation" yaml:"incarnation"`
-	PeerAddress string `json:"peerAddress" yaml:"peerAddress"`
+	AvailabilityZone string `json:"availabilityZone,omitempty" yaml:"availabilityZone,omitempty"`
+	Incarnation      string `json:"incarnation" yaml:"incarnation"`
+
+	// LinkMbps Bandwidth of the link of the instance in megabits per second.
+	LinkMbps    float64 `json:"linkMbps,omitempty" yaml:"linkMbps,omitempty"`
+	PeerAddress string  `json:"peerAddress" yaml:"peerAddress"`
 }
 
 // GatewayLoad Load that the sender puts on one backend server.
@@ -265,6 +269,37 @@
 	Full bool `json:"full,omitempty" yaml:"full,omitempty"`
 }
 
+// GatewayRow defines model for GatewayRow.
+type GatewayRow struct {
+	Deleted bool   `json:"deleted,omitempty" yaml:"deleted,omitempty"`
+	Key     string `json:"key" yaml:"key"`
+	Value   []byte `json:"value,omitempty" yaml:"value,omitempty"`
+	Version int64  `json:"version" yaml:"version"`
+}
+
+// GatewayRows Rows of one table as the sender follows it.
+type GatewayRows struct {
+	// ClockMillis Monotonic clock of the store in milliseconds.
+	ClockMillis int64 `json:"clockMillis" yaml:"clockMillis"`
+
+	// SinceReconnectMillis Time since the store answered the sender again after failed calls; absent if no call has failed.
+	SinceReconnectMillis int64        `json:"reconnectedMillis,omitempty" yaml:"reconnectedMillis,omitempty"`
+	Rows                 []GatewayRow `json:"rows,omitempty" yaml:"rows,omitempty"`
+
+	// Version Version up to which the sender has read the table.
+	Version int64 `json:"version" yaml:"version"`
+}
+
+// GatewayRowsQuery Request of an instance for rows of a table of the store that the receiver follows.
+type GatewayRowsQuery struct {
+	// AfterVersion Version after which changed rows are requested; absent to request all rows.
+	AfterVersion int64  `json:"after,omitempty" yaml:"after,omitempty"`
+	Table        string `json:"table" yaml:"table"`
+
+	// WaitMillis Longest time that the answer waits for a change.
+	WaitMillis int64 `json:"waitMillis,omitempty" yaml:"waitMillis,omitempty"`
+}
+
 // GatewayServer defines model for GatewayServer.
 type GatewayServer struct {
 	Address          string `json:"address" yaml:"address"`
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -51,8 +51,8 @@
 
 // Options of an Exchange. All fields are required.
 type Options struct {
-	Incarnation    string
-	Address        string
+	// Identity is how this instance announces itself to its peers.
+	Identity       api.GatewayInstance
 	Seeds          []string
 	Configurations *gateway.ConfigurationTable
 	Directory      *backend.Directory
@@ -74,8 +74,8 @@
 	Options
 
 	mu *lockorder.Mutex
-	// peers holds the incarnations of the peers by address.
-	peers map[string]string
+	// peers holds the peers by address.
+	peers map[string]api.GatewayInstance
 	// mergedServersRow is the newest row of the servers table that a server list merged from a peer includes.
 	mergedServersRow int64
 	// lostSince holds, by address, the time of the first failed pull from a peer that has not answered since.
@@ -90,7 +90,7 @@
 
 // New returns an exchange that knows only the addresses of the seeds.
 func New(options Options) *Exchange {
-	return &Exchange{Options: options, mu: lockorder.New(lockorder.RankPeers), peers: map[string]string{},
+	return &Exchange{Options: options, mu: lockorder.New(lockorder.RankPeers), peers: map[string]api.GatewayInstance{},
 		lostSince: map[string]time.Time{}}
 }
 
@@ -110,32 +110,42 @@
 
 // Rank returns the position of this instance in the rendezvous order of the reachable instances for a duty. The first instance
 // performs the duty; each of the others takes over later than the one before it.
-func (e *Exchange) Rank(duty string) int { return slices.Index(e.rankedAddresses(duty), e.Address) }
+func (e *Exchange) Rank(duty string) int {
+	return slices.Index(e.rankedAddresses(duty), e.Identity.PeerAddress)
+}
 
 // rankedAddresses returns the addresses of the reachable instances in the rendezvous order for a duty.
 func (e *Exchange) rankedAddresses(duty string) []string {
+	addresses := []string{e.Identity.PeerAddress}
+	for _, peer := range e.reachablePeers() {
+		addresses = append(addresses, peer.PeerAddress)
+	}
+	rendezvous.Sort(duty, addresses)
+	return addresses
+}
+
+// reachablePeers returns the peers that answered the last pull.
+func (e *Exchange) reachablePeers() []api.GatewayInstance {
 	e.mu.Lock()
-	addresses := make([]string, 0, len(e.peers)+1)
-	for address := range e.peers {
+	defer e.mu.Unlock()
+	peers := make([]api.GatewayInstance, 0, len(e.peers)+1)
+	for address, peer := range e.peers {
 		if e.lostSince[address].IsZero() {
-			addresses = append(addresses, address)
+			peers = append(peers, peer)
 		}
 	}
-	e.mu.Unlock()
-	addresses = append(addresses, e.Address)
-	rendezvous.Sort(duty, addresses)
-	return addresses
+	return peers
 }
 
 // PutPeer records a peer and reports whether its address or incarnation is new.
 func (e *Exchange) PutPeer(instance api.GatewayInstance) bool {
-	if instance.PeerAddress == e.Address || instance.PeerAddress == "" {
+	if instance.PeerAddress == e.Identity.PeerAddress || instance.PeerAddress == "" {
 		return false
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	known := e.peers[instance.PeerAddress] == instance.Incarnation
-	e.peers[instance.PeerAddress] = instance.Incarnation
+	known := e.peers[instance.PeerAddress].Incarnation == instance.Incarnation
+	e.peers[instance.PeerAddress] = instance
 	e.peakInstances = max(e.peakInstances, 1+len(e.peers))
 	return !known
 }
@@ -149,7 +159,7 @@
 	}
 	e.mu.Unlock()
 	for _, seed := range e.Seeds {
-		if seed != e.Address && !slices.Contains(addresses, seed) {
+		if seed != e.Identity.PeerAddress && !slices.Contains(addresses, seed) {
 			addresses = append(addresses, seed)
 		}
 	}
@@ -164,7 +174,7 @@
 	peers := e.selectPeers()
 	e.roundCount++
 	query := api.GatewayQuery{
-		From: api.GatewayInstance{PeerAddress: e.Address, Incarnation: e.Incarnation},
+		From: e.Identity,
 		Full: storeUnavailable || e.roundCount%fullStateRounds == 0,
 	}
 	if services := e.Migrations.RunningServices(); len(services) > 0 && e.roundCount%evidenceRounds == 0 {
--- a/internal/exchange/merge.go
+++ b/internal/exchange/merge.go
@@ -40,10 +40,10 @@
 // acceptServers reports whether a server list up to the row is at least as new as what this instance knows, and if so records the
 // row. An older list lacks servers that were added since, which would be treated as leaving.
 func (e *Exchange) acceptServers(row int64) bool {
-	newestRow := e.ServersFollower.NewestRow()
+	listVersion := e.ServersFollower.ListVersion()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if row < max(newestRow, e.mergedServersRow) {
+	if row < max(listVersion, e.mergedServersRow) {
 		return false
 	}
 	e.mergedServersRow = row
@@ -100,8 +100,9 @@
 // addOwners appends the peers that decide on the migrations of the services.
 func (e *Exchange) addOwners(peers, services []string) []string {
 	for _, service := range services {
-		for _, address := range e.rankedAddresses(service)[:min(ownersPerService, e.InstanceCount())] {
-			if address != e.Address && !slices.Contains(peers, address) {
+		ranked := e.rankedAddresses(service)
+		for _, address := range ranked[:min(ownersPerService, len(ranked))] {
+			if address != e.Identity.PeerAddress && !slices.Contains(peers, address) {
 				peers = append(peers, address)
 			}
 		}
--- a/internal/exchange/state.go
+++ b/internal/exchange/state.go
@@ -2,18 +2,23 @@
 
 import (
 	"cmp"
+	"context"
 	"time"
 
 	"github.com/cicadawall/cicadawall/internal/api"
+	"github.com/cicadawall/cicadawall/internal/rowfeed"
 )
 
+// maxRowsWait bounds how long an answer to a peer waits for a change.
+const maxRowsWait = 2 * time.Second
+
 // State records the sender and the counts of a peer's query and returns the state of this instance.
 func (e *Exchange) State(query api.GatewayQuery) api.GatewayState {
 	now := time.Now()
 	e.PutPeer(query.From)
 	e.mergeCounts(query.From.Incarnation, query.Counts)
 	state := api.GatewayState{
-		Incarnation: e.Incarnation, ConfigurationVersion: e.Configurations.Version(), OperatorRowVersion: e.OperatorFollower.NewestRow(),
+		Incarnation: e.Identity.Incarnation, ConfigurationVersion: e.Configurations.Version(), OperatorRowVersion: e.OperatorFollower.NewestRow(),
 		ServersRowVersion: e.ServersFollower.NewestRow(), Counts: e.answerCounts(),
 	}
 	if query.Full {
@@ -61,9 +66,9 @@
 func (e *Exchange) knownInstances() []api.GatewayInstance {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	instances := []api.GatewayInstance{{PeerAddress: e.Address, Incarnation: e.Incarnation}}
-	for address, incarnation := range e.peers {
-		instances = append(instances, api.GatewayInstance{PeerAddress: address, Incarnation: incarnation})
+	instances := []api.GatewayInstance{e.Identity}
+	for _, peer := range e.peers {
+		instances = append(instances, peer)
 	}
 	return instances
 }
@@ -80,3 +85,32 @@
 	}
 	return servers
 }
+
+// Rows returns rows of the servers table to a peer whose relay this instance is. It returns rowfeed.ErrRelayUnavailable if this
+// instance does not follow the store itself, and rowfeed.ErrRelayCutOff if the store does not answer it.
+func (e *Exchange) Rows(ctx context.Context, query api.GatewayRowsQuery) (api.GatewayRows, error) {
+	if query.Table != e.ServersFollower.Table || !e.ServersFollower.FollowsStore() {
+		return api.GatewayRows{}, rowfeed.ErrRelayUnavailable
+	}
+	if e.ServersFollower.Unavailable(time.Now()) {
+		return api.GatewayRows{}, rowfeed.ErrRelayCutOff
+	}
+	mirror := e.ServersFollower.Mirror
+	if query.AfterVersion == 0 {
+		return encodeRows(mirror.All(time.Now())), nil
+	}
+	page, err := mirror.Changes(ctx, query.AfterVersion, min(maxRowsWait, time.Duration(query.WaitMillis)*time.Millisecond))
+	return encodeRows(page), err
+}
+
+// encodeRows converts a page to the form in which peers exchange it.
+func encodeRows(page rowfeed.Page) api.GatewayRows {
+	rows := api.GatewayRows{Version: page.Version, ClockMillis: page.Clock.Milliseconds()}
+	if !page.ReconnectedAt.IsZero() {
+		rows.SinceReconnectMillis = max(1, time.Since(page.ReconnectedAt).Milliseconds())
+	}
+	for _, row := range page.Rows {
+		rows.Rows = append(rows.Rows, api.GatewayRow{Key: row.Key, Version: row.Version, Value: row.Value, Deleted: row.Deleted})
+	}
+	return rows
+}
--- a/internal/rowfeed/rowfeed.go
+++ b/internal/rowfeed/rowfeed.go
@@ -37,6 +37,9 @@
 	// After staleCallTimeout the connection of a call that has not returned the change is assumed to be dead.
 	peerLeadTolerance = 250 * time.Millisecond
 	staleCallTimeout  = 900 * time.Millisecond
+	// relayedLeadTolerance replaces both for a table that is read from a relay, because changes reach the relays of different
+	// availability zones at different times.
+	relayedLeadTolerance = 1 * time.Second
 	// waitMargin is the time after the end of the wait at which a call without an answer times out.
 	waitMargin = 1200 * time.Millisecond
 	// StepTimeout is the timeout of one step of a follower.
@@ -64,6 +67,10 @@
 	Version int64
 	// Clock is the store's monotonic clock.
 	Clock time.Duration
+	// Relayed is set if the page comes from a peer that follows the store. ReconnectedAt is then when the store last answered that
+	// peer again after calls had failed; zero if none has failed.
+	Relayed       bool
+	ReconnectedAt time.Time
 }
 
 // Source reads tables of the store.
@@ -97,8 +104,14 @@
 	failingSince  time.Time
 	reconnectedAt time.Time
 	lastAnswerAt  time.Time
-	// newestRow is the newest version among the rows that were passed to the handler.
-	newestRow int64
+	// relayed is set if the last answer came from a relay.
+	relayed bool
+	// readThrough is the version up to which the follower has read all changes.
+	readThrough int64
+	// newestRow is the newest version among the rows that were passed to the handler. listVersion is the same, but at least the
+	// version of the last complete read.
+	newestRow   int64
+	listVersion int64
 	// peerRow is the version of a row that a peer has seen, but this follower had not seen at the time peerRowAt; zero if there
 	// is none.
 	peerRow   int64
@@ -107,7 +120,7 @@
 	cancelCall context.CancelFunc
 }
 
-// Options of a Follower. All fields are required.
+// Options of a Follower. All fields but Mirror are required.
 type Options struct {
 	Table  string
 	Source Source
@@ -117,7 +130,9 @@
 	InstanceCount func() int
 	// BatchDelay is the pause after a change, in which further changes accumulate; each call of the store costs money.
 	BatchDelay time.Duration
-	Log        *slog.Logger
+	// Mirror, if not nil, keeps a copy of the table for peers.
+	Mirror *Mirror
+	Log    *slog.Logger
 }
 
 // New returns a follower that has not read its table yet.
@@ -199,27 +214,47 @@
 func (f *Follower) ReportPeerRow(version int64, now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if version <= f.newestRow {
+	if version <= f.readThrough {
 		return false
 	}
-	if f.peerRow <= f.newestRow {
+	if f.peerRow <= f.readThrough {
 		f.peerRow, f.peerRowAt = version, now
 		return false
 	}
-	if now.Sub(f.peerRowAt) > staleCallTimeout && f.cancelCall != nil {
+	tolerance, timeout := peerLeadTolerance, staleCallTimeout
+	if f.relayed {
+		tolerance, timeout = relayedLeadTolerance, relayedLeadTolerance
+	}
+	if now.Sub(f.peerRowAt) > timeout && f.cancelCall != nil {
 		f.cancelCall()
 		f.cancelCall = nil
 	}
-	return now.Sub(f.peerRowAt) > peerLeadTolerance
+	return now.Sub(f.peerRowAt) > tolerance
+}
+
+// FollowsStore reports whether the last answer came from the store itself; then this instance may be a relay for its peers.
+func (f *Follower) FollowsStore() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.lastAnswerAt.IsZero() && !f.relayed
 }
 
-// NewestRow returns the newest version among the rows that were passed to the handler.
+// NewestRow returns the newest version among the rows that were passed to the handler. Peers take it as a hint that the table has
+// such a row; the version of a complete read is none, because it counts the changes of all tables.
 func (f *Follower) NewestRow() int64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.newestRow
 }
 
+// ListVersion returns a version of which the rows passed to the handler are at least as new. It includes the version of a complete
+// read: rows that were deleted before it may have newer versions than the remaining ones.
+func (f *Follower) ListVersion() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.listVersion
+}
+
 // read reads the whole table.
 func (f *Follower) read(ctx context.Context) error {
 	call, cancel := context.WithCancel(ctx)
@@ -239,27 +274,35 @@
 // deliver records the versions of a page and passes its rows to the handler.
 func (f *Follower) deliver(page Page, complete bool) {
 	f.version = max(f.version, page.Version)
-	reconnectedAt := f.recordAnswer()
+	reconnectedAt := f.recordAnswer(page)
+	if f.Mirror != nil {
+		f.Mirror.apply(page, complete, reconnectedAt, time.Now())
+	}
 	f.mu.Lock()
 	for _, row := range page.Rows {
 		f.newestRow = max(f.newestRow, row.Version)
 	}
+	f.readThrough = max(f.readThrough, f.newestRow, page.Version)
+	f.listVersion = max(f.listVersion, f.newestRow)
 	if complete {
-		// Rows that were deleted before the read may have newer versions than the remaining rows.
-		f.newestRow = max(f.newestRow, page.Version)
+		f.listVersion = max(f.listVersion, page.Version)
 	}
 	f.mu.Unlock()
 	f.Handle(Batch{Complete: complete, Rows: page.Rows, Clock: page.Clock, ReconnectedAt: reconnectedAt})
 }
 
-// recordAnswer records an answer and returns when the store last answered again after failures.
-func (f *Follower) recordAnswer() time.Time {
+// recordAnswer records an answer and returns when the store last answered this instance, or the relay, again after failures.
+func (f *Follower) recordAnswer(page Page) time.Time {
 	now := time.Now()
 	f.mu.Lock()
 	reconnected := f.failures > 0
 	if reconnected {
 		f.reconnectedAt = now
 	}
+	if page.ReconnectedAt.After(f.reconnectedAt) {
+		f.reconnectedAt = page.ReconnectedAt
+	}
+	f.relayed = page.Relayed
 	f.failures = 0
 	f.lastAnswerAt = now
 	reconnectedAt, failedAt := f.reconnectedAt, f.failingSince
--- a/internal/server/gatewayhttp/gatewayhttp.go
+++ b/internal/server/gatewayhttp/gatewayhttp.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/labstack/echo/v4"
 	"github.com/labstack/echo/v4/middleware"
@@ -17,6 +18,7 @@
 
 	"github.com/cicadawall/cicadawall/internal/api"
 	"github.com/cicadawall/cicadawall/internal/httpconn"
+	"github.com/cicadawall/cicadawall/internal/rowfeed"
 	"github.com/cicadawall/cicadawall/internal/server/httperr"
 	"github.com/cicadawall/cicadawall/internal/telemetry"
 )
@@ -24,6 +26,7 @@
 const (
 	statePath         = "/peer/v1/gateway"
 	configurationPath = "/peer/v1/gateway/configuration"
+	rowsPath          = "/peer/v1/gateway/rows"
 	// MetricsPath is the path of the metrics on the peer address.
 	MetricsPath = "/metrics"
 	// maxStateBytes bounds a query and its answer. The largest answers are a configuration of 1 MB and the state of 1,100
@@ -56,6 +59,8 @@
 	State(query api.GatewayQuery) api.GatewayState
 	// Document returns the encoded configuration in force, or nil if there is none.
 	Document() []byte
+	// Rows returns rows of a table that this instance follows in the store.
+	Rows(ctx context.Context, query api.GatewayRowsQuery) (api.GatewayRows, error)
 }
 
 // PeerHandler returns the handler of the peer address: state, configuration and metrics.
@@ -68,6 +73,17 @@
 		}
 		return c.JSON(http.StatusOK, source.State(query))
 	})
+	e.POST(rowsPath, func(c echo.Context) error {
+		var query api.GatewayRowsQuery
+		if err := json.NewDecoder(io.LimitReader(c.Request().Body, maxStateBytes)).Decode(&query); err != nil {
+			return echo.NewHTTPError(http.StatusBadRequest, "the body is not a valid GatewayRowsQuery")
+		}
+		rows, err := source.Rows(c.Request().Context(), query)
+		if err != nil {
+			return c.NoContent(rowsStatus(err))
+		}
+		return c.JSON(http.StatusOK, rows)
+	})
 	e.GET(configurationPath, func(c echo.Context) error {
 		document := source.Document()
 		if document == nil {
@@ -92,12 +108,10 @@
 // Pull implements exchange.Transport.
 func (c *Client) Pull(ctx context.Context, address string, query api.GatewayQuery) (api.GatewayState, error) {
 	var state api.GatewayState
-	body, err := json.Marshal(query)
-	if err != nil {
-		return state, errors.Wrap(err, "encode query")
+	status, answer, err := c.post(ctx, address, statePath, query)
+	if err == nil && status != http.StatusOK {
+		err = errors.Errorf("the peer answered with status %d", status)
 	}
-	head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nContent-Length: %d\r\n\r\n", statePath, address, len(body))
-	answer, err := c.call(ctx, httpconn.Request{Address: address, Method: http.MethodPost, Head: []byte(head), Body: body})
 	if err != nil {
 		return state, errors.Wrapf(err, "pull state of peer %s", address)
 	}
@@ -107,30 +121,88 @@
 // Configuration implements exchange.Transport.
 func (c *Client) Configuration(ctx context.Context, address string) ([]byte, error) {
 	head := fmt.Sprintf("GET %s HTTP/1.1\r\nHost: %s\r\nAccept-Encoding: gzip\r\n\r\n", configurationPath, address)
-	document, err := c.call(ctx, httpconn.Request{Address: address, Method: http.MethodGet, Head: []byte(head)})
+	status, document, err := c.send(ctx, httpconn.Request{Address: address, Method: http.MethodGet, Head: []byte(head)})
+	if err == nil && status != http.StatusOK {
+		err = errors.Errorf("the peer answered with status %d", status)
+	}
 	return document, errors.Wrapf(err, "fetch configuration of peer %s", address)
 }
 
-// call sends a request and returns the decompressed body of an answer with status 200.
-func (c *Client) call(ctx context.Context, request httpconn.Request) ([]byte, error) {
+// rowsStatus returns the status of an answer without rows.
+func rowsStatus(err error) int {
+	switch {
+	case errors.Is(err, rowfeed.ErrHistoryDropped):
+		return http.StatusGone
+	case errors.Is(err, rowfeed.ErrRelayCutOff):
+		return http.StatusBadGateway
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
+
+// Rows implements rowfeed.RelayTransport.
+func (c *Client) Rows(ctx context.Context, address, table string, after int64, wait time.Duration) (rowfeed.Page, error) {
+	query := api.GatewayRowsQuery{Table: table, AfterVersion: after, WaitMillis: wait.Milliseconds()}
+	status, body, err := c.post(ctx, address, rowsPath, query)
+	if err != nil {
+		return rowfeed.Page{}, errors.Wrapf(err, "read rows of peer %s", address)
+	}
+	switch status {
+	case http.StatusOK:
+	case http.StatusGone:
+		return rowfeed.Page{}, rowfeed.ErrHistoryDropped
+	case http.StatusBadGateway:
+		return rowfeed.Page{}, rowfeed.ErrRelayCutOff
+	default:
+		return rowfeed.Page{}, rowfeed.ErrRelayUnavailable
+	}
+	var rows api.GatewayRows
+	if err := json.Unmarshal(body, &rows); err != nil {
+		return rowfeed.Page{}, errors.Wrapf(err, "decode rows of peer %s", address)
+	}
+	return decodeRows(rows, time.Now()), nil
+}
+
+// decodeRows converts rows of a peer that arrived now.
+func decodeRows(rows api.GatewayRows, now time.Time) rowfeed.Page {
+	page := rowfeed.Page{Version: rows.Version, Clock: time.Duration(rows.ClockMillis) * time.Millisecond}
+	if rows.SinceReconnectMillis > 0 {
+		page.ReconnectedAt = now.Add(-time.Duration(rows.SinceReconnectMillis) * time.Millisecond)
+	}
+	for _, row := range rows.Rows {
+		page.Rows = append(page.Rows, rowfeed.Row{Key: row.Key, Version: row.Version, Value: row.Value, Deleted: row.Deleted})
+	}
+	return page
+}
+
+// post sends a value as JSON and returns the status and the body of the answer.
+func (c *Client) post(ctx context.Context, address, path string, value any) (int, []byte, error) {
+	body, err := json.Marshal(value)
+	if err != nil {
+		return 0, nil, errors.Wrap(err, "encode query")
+	}
+	head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nContent-Length: %d\r\n\r\n", path, address, len(body))
+	return c.send(ctx, httpconn.Request{Address: address, Method: http.MethodPost, Head: []byte(head), Body: body})
+}
+
+// send sends a request and returns the status and the decompressed body of the answer.
+func (c *Client) send(ctx context.Context, request httpconn.Request) (int, []byte, error) {
 	response, err := c.pool.Do(ctx, request)
 	if err != nil {
-		return nil, err
+		return 0, nil, err
 	}
 	defer response.Close()
 	body, err := io.ReadAll(io.LimitReader(response, maxStateBytes))
 	if err != nil {
-		return nil, err
-	}
-	if response.Status != http.StatusOK {
-		return nil, errors.Errorf("the peer answered with status %d", response.Status)
+		return 0, nil, err
 	}
 	if response.Header.Get(echo.HeaderContentEncoding) != "gzip" {
-		return body, nil
+		return response.Status, body, nil
 	}
 	decompressed, err := gzip.NewReader(bytes.NewReader(body))
 	if err != nil {
-		return nil, err
+		return 0, nil, err
 	}
-	return io.ReadAll(io.LimitReader(decompressed, maxStateBytes))
+	body, err = io.ReadAll(io.LimitReader(decompressed, maxStateBytes))
+	return response.Status, body, err
 }
