Bound the head of an answer, which a faulty peer may never end

Cause: net/http reads a head, or interim answers, without a limit. A server, a peer or the store that sends bytes without end held a request until its deadline and filled the memory; without a deadline, for ever. Change: at most 64 KB are read until the head of the final answer is complete.

--- a/internal/gateway/models.go
+++ b/internal/gateway/models.go
@@ -13,6 +13,15 @@
 	// minAcceptedConfidence is the lowest confidence at which the answer of a smaller model is accepted. At 50 a model is as
 	// likely right as wrong; the threshold is higher because a wrong answer costs more than another run.
 	minAcceptedConfidence = 55
+	// minLateConfidence replaces minAcceptedConfidence if the answer of the largest model would certainly be late. An answer that is
+	// probably right now then serves the caller better than a certain one too late, and the servers of the large model recover.
+	minLateConfidence = 25
+	// onTimeRatio and lateRatio are the ratios of the expected delay of the largest model to the time left until the target at which
+	// its answer is probably in time and certainly late.
+	onTimeRatio = 0.8
+	lateRatio   = 2.0
+	// firstEventWeight is the weight of a new attempt in the moving average of a model's delay.
+	firstEventWeight = 0.1
 	// escalationBudgetFraction is the fraction of the retry budget that escalations may use; the rest is reserved for retries
 	// after failures.
 	escalationBudgetFraction = 0.92
@@ -38,6 +47,8 @@
 type work struct {
 	amount    float64
 	updatedAt time.Time
+	// firstEventDelay is the moving average of the time from the start of an attempt to its first event, or to its end without one.
+	firstEventDelay time.Duration
 }
 
 func newModelTable() *modelTable {
@@ -53,6 +64,25 @@
 	row.updatedAt = now
 }
 
+// observeFirstEvent records the time from the start of an attempt to its first event, or to its end without one.
+func (t *modelTable) observeFirstEvent(service *Service, model string, delay time.Duration, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	row := t.row(service, model, now)
+	if row.firstEventDelay == 0 {
+		row.firstEventDelay = delay
+		return
+	}
+	row.firstEventDelay += time.Duration(firstEventWeight * float64(delay-row.firstEventDelay))
+}
+
+// expectedDelay returns the expected time from the start of an attempt with the model to its first event; zero if unknown.
+func (t *modelTable) expectedDelay(service *Service, model string, now time.Time) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.row(service, model, now).firstEventDelay
+}
+
 func (t *modelTable) row(service *Service, model string, now time.Time) *work {
 	models, ok := t.rows[service.Name]
 	if !ok {
@@ -127,21 +157,39 @@
 	r.gateway.models.addWork(r.service, r.model, decodeTokenWork*r.request.OutputTokens, now)
 }
 
+// acceptedConfidence returns the lowest confidence at which the answer of a smaller model is accepted, given the expected delay of
+// the largest model and the time left until the target. It falls while the servers of the largest model are overloaded.
+func acceptedConfidence(expectedDelay, timeLeft time.Duration) int {
+	if timeLeft <= 0 {
+		return minLateConfidence
+	}
+	lateness := (float64(expectedDelay)/float64(timeLeft) - onTimeRatio) / (lateRatio - onTimeRatio)
+	return minAcceptedConfidence - int(min(1, max(0, lateness))*(minAcceptedConfidence-minLateConfidence))
+}
+
 // escalate reports whether the answer is discarded because of its low confidence; the next attempt then uses the largest model.
 func (r *requestJob) escalate(server *backend.Attempt, reply *Reply) bool {
 	models := r.route.Models
 	if !r.request.AnyModel || len(models) == 0 || r.model == models[len(models)-1] {
 		return false
 	}
-	r.log("confidence of the answer checked", "model", r.model, "confidence", reply.Confidence, "server", server.Entry.ID)
-	if reply.Confidence < 0 || reply.Confidence >= minAcceptedConfidence {
+	now := time.Now()
+	largest := models[len(models)-1]
+	expectedDelay := r.gateway.models.expectedDelay(r.service, largest, now)
+	threshold := minAcceptedConfidence
+	if r.route.TargetLatency > 0 {
+		threshold = acceptedConfidence(expectedDelay, r.route.TargetLatency-now.Sub(r.request.Arrived))
+	}
+	r.log("confidence of the answer checked", "model", r.model, "confidence", reply.Confidence, "threshold", threshold,
+		"expected_ms", expectedDelay.Milliseconds(), "server", server.Entry.ID)
+	if reply.Confidence < 0 || reply.Confidence >= threshold {
 		return false
 	}
-	if r.executions >= r.route.MaxAttempts || !r.gateway.RetryBudget.Spend(r.service.Name, escalationBudgetFraction, time.Now()) {
+	if r.executions >= r.route.MaxAttempts || !r.gateway.RetryBudget.Spend(r.service.Name, escalationBudgetFraction, now) {
 		return false
 	}
 	r.retryBudgetSpent = true
-	r.model = models[len(models)-1]
+	r.model = largest
 	r.triedServers = nil
 	return true
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -306,6 +306,9 @@
 	if sent {
 		r.executions++
 		r.mayHaveRun = true
+		if r.route.HasPrompt && !staleConnection {
+			r.gateway.models.observeFirstEvent(r.service, r.model, time.Since(r.attemptStart), time.Now())
+		}
 		if !requestEnded && !staleConnection {
 			r.observeVersion(server, "", true, 0)
 		}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -28,6 +28,7 @@
 	server.RecordPrefill(firstAt)
 	r.recordPromptWork(firstAt)
 	r.observeVersion(server, "", false, firstAt.Sub(r.attemptStart))
+	r.gateway.models.observeFirstEvent(r.service, r.model, firstAt.Sub(r.attemptStart), firstAt)
 	if !r.headSent && r.escalate(server, reply) {
 		server.End(backend.ResultNeutral, firstAt)
 		return true
--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -2,14 +2,19 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 )
 
 const (
+	// maxHeadBytes bounds the bytes that are read until the head of the final answer is complete, including interim answers and
+	// answers to earlier requests. A faulty peer may send bytes without end that never become a head.
+	maxHeadBytes = 64 << 10
 	// readBufferBytes is enough for the headers of a typical answer or for several events of a stream.
 	readBufferBytes = 4 << 10
 	// keepAliveIdle, keepAliveInterval and keepAliveCount set TCP keep-alive probes that detect an unreachable peer within 3 s
@@ -25,6 +30,7 @@
 type conn struct {
 	net.Conn
 	address string
+	limiter *headLimiter
 	reader  *bufio.Reader
 	// idleSince is when the last exchange ended.
 	idleSince time.Time
@@ -36,7 +42,38 @@
 }
 
 func newConn(raw net.Conn, address string) *conn {
-	return &conn{Conn: raw, address: address, reader: bufio.NewReaderSize(raw, readBufferBytes)}
+	limiter := &headLimiter{source: raw}
+	return &conn{Conn: raw, address: address, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes)}
+}
+
+// ErrHeadTooLong means that a peer sent more than maxHeadBytes without completing the head of an answer.
+var ErrHeadTooLong = errors.New("head of the answer is too long")
+
+// headLimiter limits the bytes that are read from a connection while a head is read.
+type headLimiter struct {
+	source io.Reader
+	// limited is set while a head is read, of which at most remaining bytes may still arrive.
+	limited   bool
+	remaining int
+}
+
+// start limits the bytes that are read from now on.
+func (l *headLimiter) start() { l.limited, l.remaining = true, maxHeadBytes }
+
+// stop ends the limit.
+func (l *headLimiter) stop() { l.limited = false }
+
+// Read implements io.Reader.
+func (l *headLimiter) Read(p []byte) (int, error) {
+	if !l.limited {
+		return l.source.Read(p)
+	}
+	if l.remaining <= 0 {
+		return 0, ErrHeadTooLong
+	}
+	n, err := l.source.Read(p[:min(len(p), l.remaining)])
+	l.remaining -= n
+	return n, err
 }
 
 // dialer returns a dialer whose connections detect unreachable peers with TCP keep-alive and TCP_USER_TIMEOUT.
--- a/internal/httpconn/exchange.go
+++ b/internal/httpconn/exchange.go
@@ -142,8 +142,10 @@
 	return nil, ErrMismatchedAnswer
 }
 
-// readFinalAnswer reads the next answer and skips interim (1xx) responses.
+// readFinalAnswer reads the head of the next answer, of at most maxHeadBytes, and skips interim (1xx) responses.
 func (x *exchange) readFinalAnswer(method string) (*http.Response, error) {
+	x.conn.limiter.start()
+	defer x.conn.limiter.stop()
 	for {
 		answer, err := http.ReadResponse(x.conn.reader, &http.Request{Method: method})
 		if err != nil {
