--- a/internal/api/peer.gen.go
+++ b/internal/api/peer.gen.go
@@ -219,16 +219,6 @@
 	PeerAddress string  `json:"peerAddress" yaml:"peerAddress"`
 }
 
-// GatewayLoad Load that the sender puts on one backend server.
-type GatewayLoad struct {
-	// PendingTokens Prompt tokens of these requests whose prefill is not finished.
-	PendingTokens int `json:"pendingTokens,omitempty" yaml:"pendingTokens,omitempty"`
-
-	// Running Requests of the sender in flight on the server.
-	Running int    `json:"running" yaml:"running"`
-	Server  string `json:"server" yaml:"server"`
-}
-
 // GatewayMigration Migration of a service to a target version as the sender knows it.
 type GatewayMigration struct {
 	// AgeMillis Time since the migration was ordered in milliseconds.
@@ -262,6 +252,9 @@
 	// Counts Counts of the sender, included in queries to the peers that decide on a migration.
 	Counts []GatewayCount `json:"counts,omitempty" yaml:"counts,omitempty"`
 
+	// CountsOnly Whether the query only delivers the counts; the answer then has no lists.
+	CountsOnly bool `json:"countsOnly,omitempty" yaml:"countsOnly,omitempty"`
+
 	// From Value of the row that announces an instance to its peers.
 	From GatewayInstance `json:"from" yaml:"from"`
 
@@ -319,10 +312,7 @@
 	Incarnation          string         `json:"incarnation" yaml:"incarnation"`
 
 	// Instances Known instances, if requested.
-	Instances []GatewayInstance `json:"instances,omitempty" yaml:"instances,omitempty"`
-
-	// Loads Backend servers on which the sender has requests in flight.
-	Loads      []GatewayLoad      `json:"loads,omitempty" yaml:"loads,omitempty"`
+	Instances  []GatewayInstance  `json:"instances,omitempty" yaml:"instances,omitempty"`
 	Migrations []GatewayMigration `json:"migrations,omitempty" yaml:"migrations,omitempty"`
 
 	// OperatorRowVersion Highest row version of the operator's table that the sender has read.
--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -1,5 +1,5 @@
 // Package backend holds the table of backend servers that register themselves in the platform's store. For each server it keeps
-// the registered entry, the load from this instance and its peers, and the outcome of recent attempts.
+// the registered entry, the load from this instance, and the outcome of recent attempts.
 package backend
 
 import (
@@ -60,7 +60,6 @@
 	rows          map[string]*row
 	rowsByService map[string][]*row
 	loaded        bool
-	peerLoads     peerLoads
 }
 
 // NewDirectory returns an empty table.
@@ -209,16 +208,11 @@
 	defer d.mu.Unlock()
 	rows := d.rowsByService[q.Service]
 	candidates := make([]routing.Candidate, 0, len(rows))
-	peerTotals, scale := d.peerLoads.sum(now)
 	for _, r := range rows {
 		if !r.removeAt.IsZero() && !now.Before(r.removeAt) {
 			continue
 		}
-		candidate := r.candidate(q, now)
-		peerTotal := peerTotals[r.entry.ID]
-		candidate.PeerInFlight = int(scale * float64(peerTotal.InFlight))
-		candidate.PendingTokens += int(scale * float64(peerTotal.PendingTokens))
-		candidates = append(candidates, candidate)
+		candidates = append(candidates, r.candidate(q, now))
 	}
 	return candidates
 }
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -1,5 +1,4 @@
-// Package exchange shares state between the instances of the gateway: the load on the backend servers and the counts of good and
-// bad answers, and, while the store is unavailable to an instance, the configuration, the servers and the state of migrations.
+// Package exchange shares state between the instances of the gateway: the counts of good and bad answers and, while the store is unavailable to an instance, the configuration, the servers and the state of migrations.
 package exchange
 
 import (
@@ -28,6 +27,8 @@
 	pullTimeout = 700 * time.Millisecond
 	// peersPerRound bounds the pulls of a round, so that the cost per instance does not grow with the number of instances.
 	peersPerRound = 6
+	// peersPerRoundWithRelays replaces peersPerRound in a fleet with relays, where peers only hand on what a relay misses.
+	peersPerRoundWithRelays = 2
 	// ownersPerService is the number of instances that collect the counts of all instances for the migration of a service. There
 	// are two so that one may fail.
 	ownersPerService = 2
@@ -150,8 +151,8 @@
 	return !known
 }
 
-// selectPeers returns a random selection of peers and seeds for one round.
-func (e *Exchange) selectPeers() []string {
+// selectPeers returns a random selection of at most count peers and seeds for one round.
+func (e *Exchange) selectPeers(count int) []string {
 	e.mu.Lock()
 	addresses := make([]string, 0, len(e.peers)+len(e.Seeds))
 	for address := range e.peers {
@@ -164,36 +165,56 @@
 		}
 	}
 	rand.Shuffle(len(addresses), func(a, b int) { addresses[a], addresses[b] = addresses[b], addresses[a] })
-	return addresses[:min(len(addresses), peersPerRound)]
+	return addresses[:min(len(addresses), count)]
 }
 
 // Round pulls the state of some peers and sends this instance's counts to the owners of running migrations. It is the
 // function of a periodic duty.
 func (e *Exchange) Round(ctx context.Context) error {
 	storeUnavailable := e.StoreUnavailable(time.Now())
-	peers := e.selectPeers()
 	e.roundCount++
-	query := api.GatewayQuery{
-		From: e.Identity,
-		Full: storeUnavailable || e.roundCount%fullStateRounds == 0,
-	}
-	if services := e.Migrations.RunningServices(); len(services) > 0 && e.roundCount%evidenceRounds == 0 {
-		query.Counts = e.answerCounts()
-		peers = e.addOwners(peers, services)
-	}
-	done := make(chan struct{}, len(peers))
-	for _, address := range peers {
+	query := api.GatewayQuery{From: e.Identity, Full: storeUnavailable || e.roundCount%fullStateRounds == 0}
+	queries := e.planQueries(query)
+	done := make(chan struct{}, len(queries))
+	for address, query := range queries {
 		go func() {
 			e.pull(ctx, address, query, storeUnavailable)
 			done <- struct{}{}
 		}()
 	}
-	for range peers {
+	for range queries {
 		<-done
 	}
 	return nil
 }
 
+// planQueries returns the queries of a round by address: to random peers, and to the owners of running migrations if the counts are
+// due.
+func (e *Exchange) planQueries(query api.GatewayQuery) map[string]api.GatewayQuery {
+	count := peersPerRound
+	if !e.Relays().Small {
+		count = peersPerRoundWithRelays
+	}
+	queries := map[string]api.GatewayQuery{}
+	for _, address := range e.selectPeers(count) {
+		queries[address] = query
+	}
+	services := e.Migrations.RunningServices()
+	if len(services) == 0 || e.roundCount%evidenceRounds != 0 {
+		return queries
+	}
+	counts := e.answerCounts()
+	for _, address := range e.owners(services) {
+		planned, ok := queries[address]
+		if !ok {
+			planned = api.GatewayQuery{From: query.From, CountsOnly: true}
+		}
+		planned.Counts = counts
+		queries[address] = planned
+	}
+	return queries
+}
+
 // pull pulls and merges the state of a peer; useServers says that the peer's server list is wanted.
 func (e *Exchange) pull(ctx context.Context, address string, query api.GatewayQuery, useServers bool) {
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
--- a/internal/exchange/merge.go
+++ b/internal/exchange/merge.go
@@ -26,11 +26,6 @@
 		e.mergeMigration(m, now)
 	}
 	e.mergeCounts(state.Incarnation, state.Counts)
-	loads := make(map[string]backend.ServerLoad, len(state.Loads))
-	for _, l := range state.Loads {
-		loads[l.Server] = backend.ServerLoad{InFlight: l.Running, PendingTokens: l.PendingTokens}
-	}
-	e.Directory.SetPeerLoad(state.Incarnation, loads, e.InstanceCount(), now)
 	if useServers && state.ServersComplete && e.acceptServers(state.ServersRowVersion) {
 		e.mergeServers(state.Servers, now)
 	}
@@ -97,17 +92,18 @@
 	e.fetching = false
 }
 
-// addOwners appends the peers that decide on the migrations of the services.
-func (e *Exchange) addOwners(peers, services []string) []string {
+// owners returns the peers that decide on the migrations of the services.
+func (e *Exchange) owners(services []string) []string {
+	var owners []string
 	for _, service := range services {
 		ranked := e.rankedAddresses(service)
 		for _, address := range ranked[:min(ownersPerService, len(ranked))] {
-			if address != e.Identity.PeerAddress && !slices.Contains(peers, address) {
-				peers = append(peers, address)
+			if address != e.Identity.PeerAddress && !slices.Contains(owners, address) {
+				owners = append(owners, address)
 			}
 		}
 	}
-	return peers
+	return owners
 }
 
 // mergeMigration merges what a peer knows of the migration of a service: order, recorded state and suspected versions.
--- a/internal/exchange/relays.go
+++ b/internal/exchange/relays.go
@@ -24,43 +24,52 @@
 
 // RelayCount returns the number of instances that follow the store.
 func (e *Exchange) RelayCount() int {
-	members := append(e.reachablePeers(), e.Identity)
-	if len(members) <= directFleetSize {
-		return len(members)
+	if e.Relays().Small {
+		return e.InstanceCount()
 	}
-	zones := map[string]bool{}
-	for _, member := range members {
-		zones[member.AvailabilityZone] = true
+	zones := map[string]int{e.Identity.AvailabilityZone: 1}
+	for _, peer := range e.reachablePeers() {
+		zones[peer.AvailabilityZone]++
 	}
-	return relaysPerZone * len(zones)
+	count := 0
+	for _, members := range zones {
+		count += min(relaysPerZone, members)
+	}
+	return count
 }
 
-// assignRelays chooses the relays of an instance. In each availability zone the instances with the fastest links follow the store
-// for the others, because a relay sends each change to all of them. Half of the others prefer one relay, half the other one.
+// assignRelays chooses the relays of an instance. Half of the instances of an availability zone prefer one relay, half the other one.
 func assignRelays(self api.GatewayInstance, peers []api.GatewayInstance) rowfeed.Relays {
 	if 1+len(peers) <= directFleetSize {
-		return rowfeed.Relays{Direct: true}
+		return rowfeed.Relays{Direct: true, Small: true}
 	}
-	zone := []api.GatewayInstance{self}
+	members := []api.GatewayInstance{self}
 	for _, peer := range peers {
 		if peer.AvailabilityZone == self.AvailabilityZone {
-			zone = append(zone, peer)
+			members = append(members, peer)
 		}
 	}
-	slices.SortFunc(zone, func(a, b api.GatewayInstance) int {
+	addresses := relaysOfZone(members)
+	if slices.Contains(addresses, self.PeerAddress) {
+		return rowfeed.Relays{Direct: true}
+	}
+	rendezvous.Sort(self.PeerAddress, addresses)
+	return rowfeed.Relays{Addresses: addresses}
+}
+
+// relaysOfZone returns the relays among the members of an availability zone: those with the fastest links, because a relay sends each
+// change to half of the others.
+func relaysOfZone(members []api.GatewayInstance) []string {
+	slices.SortFunc(members, func(a, b api.GatewayInstance) int {
 		return cmp.Or(
 			cmp.Compare(b.LinkMbps, a.LinkMbps),
 			cmp.Compare(rendezvous.Weight(relayKey, b.PeerAddress), rendezvous.Weight(relayKey, a.PeerAddress)),
 			cmp.Compare(a.PeerAddress, b.PeerAddress),
 		)
 	})
-	var relays rowfeed.Relays
-	for _, member := range zone[:min(relaysPerZone, len(zone))] {
-		if member.PeerAddress == self.PeerAddress {
-			return rowfeed.Relays{Direct: true}
-		}
-		relays.Addresses = append(relays.Addresses, member.PeerAddress)
+	addresses := make([]string, 0, relaysPerZone)
+	for _, member := range members[:min(relaysPerZone, len(members))] {
+		addresses = append(addresses, member.PeerAddress)
 	}
-	rendezvous.Sort(self.PeerAddress, relays.Addresses)
-	return relays
+	return addresses
 }
--- a/internal/exchange/state.go
+++ b/internal/exchange/state.go
@@ -19,8 +19,12 @@
 	e.mergeCounts(query.From.Incarnation, query.Counts)
 	state := api.GatewayState{
 		Incarnation: e.Identity.Incarnation, ConfigurationVersion: e.Configurations.Version(), OperatorRowVersion: e.OperatorFollower.NewestRow(),
-		ServersRowVersion: e.ServersFollower.NewestRow(), Counts: e.answerCounts(),
+		ServersRowVersion: e.ServersFollower.NewestRow(),
 	}
+	if query.CountsOnly {
+		return state
+	}
+	state.Counts = e.answerCounts()
 	if query.Full {
 		state.Instances = e.knownInstances()
 	}
@@ -32,9 +36,6 @@
 			WithdrawnTargets: view.Withdrawn,
 		})
 	}
-	for id, load := range e.Directory.LocalLoads() {
-		state.Loads = append(state.Loads, api.GatewayLoad{Server: id, Running: load.InFlight, PendingTokens: load.PendingTokens})
-	}
 	if query.Full && !e.StoreUnavailable(now) {
 		state.ServersComplete = e.Directory.Loaded()
 		state.Servers = e.knownServers()
--- a/internal/routing/gateway.go
+++ b/internal/routing/gateway.go
@@ -50,13 +50,14 @@
 }
 
 // PrefillScorer estimates the time until the end of the prefill from the prompt tokens missing from the server's cache, the
-// pending tokens of earlier prompts, and the requests running and queued on the server.
+// pending tokens of earlier prompts, and the requests running and queued on the server. It knows only those of this instance: reports
+// of peers are up to a second old, so that all instances avoid the same servers and then choose the same ones.
 type PrefillScorer struct{}
 
 // Score implements Scorer.
 func (PrefillScorer) Score(c *Candidate, r *Request, _ time.Time) time.Duration {
 	tokens := uncachedTokenWeight*max(0, r.PromptTokens-c.CachedTokens) + c.PendingTokens
-	running := c.InFlight + c.PeerInFlight
+	running := c.InFlight
 	delay := time.Duration(tokens)*time.Millisecond/prefillTokensPerMillisecond + time.Duration(running)*runningRequestDelay
 	if waiting := running + 1 - c.Slots; c.Slots > 0 && waiting > 0 {
 		delay += queuedBatchDelay * time.Duration(waiting) / time.Duration(c.Slots)
@@ -75,7 +76,7 @@
 		responseTime = defaultResponseTime
 	}
 	slots := max(1, c.Slots)
-	score := float64(responseTime) * (1 + float64(c.InFlight+c.PeerInFlight)/float64(slots))
+	score := float64(responseTime) * (1 + float64(c.InFlight)/float64(slots))
 	if c.Cold {
 		score *= coldSlowdownFactor
 	}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -43,8 +43,6 @@
 	MaxInFlight int
 	// CachedTokens is the number of leading tokens of the prompt that the server probably holds.
 	CachedTokens int
-	// PeerInFlight is the estimated number of requests of the other instances on the server.
-	PeerInFlight int
 	// PendingTokens counts the prompt tokens sent to the server whose prefill has not finished.
 	PendingTokens int
 	// ResponseTime is the moving average of the server's response time; zero if none was measured.
--- a/internal/rowfeed/relay.go
+++ b/internal/rowfeed/relay.go
@@ -41,6 +41,8 @@
 type Relays struct {
 	// Direct is set if the instance follows the store itself.
 	Direct bool
+	// Small is set if every instance follows the store, because the fleet is too small for relays.
+	Small bool
 	// Addresses are the peers to read from, the preferred one first.
 	Addresses []string
 }
