Read the operator's table from relays too, and divide the servers among models by cost and measured delay

Lists of instances and servers went out together in every 16th pull, uncompressed, and counts in each answer. Change: both tables come from relays; answers over 4 KB are compressed; only the list of instances is sent for discovery; in fleets with relays answers omit counts, and one of the two peers is in the own zone. The weight of a token is the geometric mean of the model's cost and the delay of its first event.

--- a/internal/api/peer.gen.go
+++ b/internal/api/peer.gen.go
@@ -249,11 +249,14 @@
 
 // GatewayQuery Request of an instance for the state of a peer; it also reports the sender's own address and counts.
 type GatewayQuery struct {
+	// Brief Whether the answer may omit the counts of the receiver.
+	Brief bool `json:"brief,omitempty" yaml:"brief,omitempty"`
+
 	// Counts Counts of the sender, included in queries to the peers that decide on a migration.
 	Counts []GatewayCount `json:"counts,omitempty" yaml:"counts,omitempty"`
 
-	// CountsOnly Whether the query only delivers the counts; the answer then has no lists.
-	CountsOnly bool `json:"countsOnly,omitempty" yaml:"countsOnly,omitempty"`
+	// Discover Whether the list of instances is requested.
+	Discover bool `json:"discover,omitempty" yaml:"discover,omitempty"`
 
 	// From Value of the row that announces an instance to its peers.
 	From GatewayInstance `json:"from" yaml:"from"`
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -27,8 +27,6 @@
 	pullTimeout = 700 * time.Millisecond
 	// peersPerRound bounds the pulls of a round, so that the cost per instance does not grow with the number of instances.
 	peersPerRound = 6
-	// peersPerRoundWithRelays replaces peersPerRound in a fleet with relays, where peers only hand on what a relay misses.
-	peersPerRoundWithRelays = 2
 	// ownersPerService is the number of instances that collect the counts of all instances for the migration of a service. There
 	// are two so that one may fail.
 	ownersPerService = 2
@@ -36,7 +34,7 @@
 	evidenceRounds = 2
 	// configurationTimeout is the timeout for fetching a configuration over a slow link: 1 MB takes 0.8 s at 10 Mbit/s.
 	configurationTimeout = 5 * time.Second
-	// fullStateRounds is the number of rounds between two pulls of the full state, whose list of instances is long.
+	// fullStateRounds is the number of rounds between two pulls of the list of instances, which is long.
 	fullStateRounds = 16
 	// peerExpiry is the time after which a peer that does not answer is removed.
 	peerExpiry = 10 * time.Second
@@ -151,12 +149,16 @@
 	return !known
 }
 
-// selectPeers returns a random selection of at most count peers and seeds for one round.
-func (e *Exchange) selectPeers(count int) []string {
+// selectPeers returns random peers and seeds for one round. In a fleet with relays these are one peer of the own availability zone and
+// one of any, because bytes between zones cost money.
+func (e *Exchange) selectPeers(withRelays bool) []string {
 	e.mu.Lock()
-	addresses := make([]string, 0, len(e.peers)+len(e.Seeds))
-	for address := range e.peers {
+	var addresses, zone []string
+	for address, peer := range e.peers {
 		addresses = append(addresses, address)
+		if peer.AvailabilityZone == e.Identity.AvailabilityZone {
+			zone = append(zone, address)
+		}
 	}
 	e.mu.Unlock()
 	for _, seed := range e.Seeds {
@@ -164,6 +166,14 @@
 			addresses = append(addresses, seed)
 		}
 	}
+	if withRelays {
+		return slices.Compact(append(randomAddresses(zone, 1), randomAddresses(addresses, 1)...))
+	}
+	return randomAddresses(addresses, peersPerRound)
+}
+
+// randomAddresses returns up to count random addresses.
+func randomAddresses(addresses []string, count int) []string {
 	rand.Shuffle(len(addresses), func(a, b int) { addresses[a], addresses[b] = addresses[b], addresses[a] })
 	return addresses[:min(len(addresses), count)]
 }
@@ -173,7 +183,7 @@
 func (e *Exchange) Round(ctx context.Context) error {
 	storeUnavailable := e.StoreUnavailable(time.Now())
 	e.roundCount++
-	query := api.GatewayQuery{From: e.Identity, Full: storeUnavailable || e.roundCount%fullStateRounds == 0}
+	query := api.GatewayQuery{From: e.Identity, Full: storeUnavailable, Discover: e.roundCount%fullStateRounds == 0}
 	queries := e.planQueries(query)
 	done := make(chan struct{}, len(queries))
 	for address, query := range queries {
@@ -191,12 +201,9 @@
 // planQueries returns the queries of a round by address: to random peers, and to the owners of running migrations if the counts are
 // due.
 func (e *Exchange) planQueries(query api.GatewayQuery) map[string]api.GatewayQuery {
-	count := peersPerRound
-	if !e.Relays().Small {
-		count = peersPerRoundWithRelays
-	}
 	queries := map[string]api.GatewayQuery{}
-	for _, address := range e.selectPeers(count) {
+	query.Brief = !e.Relays().Small
+	for _, address := range e.selectPeers(query.Brief) {
 		queries[address] = query
 	}
 	services := e.Migrations.RunningServices()
@@ -207,7 +214,7 @@
 	for _, address := range e.owners(services) {
 		planned, ok := queries[address]
 		if !ok {
-			planned = api.GatewayQuery{From: query.From, CountsOnly: true}
+			planned = api.GatewayQuery{From: query.From, Brief: true}
 		}
 		planned.Counts = counts
 		queries[address] = planned
--- a/internal/exchange/state.go
+++ b/internal/exchange/state.go
@@ -21,11 +21,10 @@
 		Incarnation: e.Identity.Incarnation, ConfigurationVersion: e.Configurations.Version(), OperatorRowVersion: e.OperatorFollower.NewestRow(),
 		ServersRowVersion: e.ServersFollower.NewestRow(),
 	}
-	if query.CountsOnly {
-		return state
+	if !query.Brief {
+		state.Counts = e.answerCounts()
 	}
-	state.Counts = e.answerCounts()
-	if query.Full {
+	if query.Full || query.Discover {
 		state.Instances = e.knownInstances()
 	}
 	for _, view := range e.Migrations.Views(now) {
@@ -87,23 +86,34 @@
 	return servers
 }
 
-// Rows returns rows of the servers table to a peer whose relay this instance is. It returns rowfeed.ErrRelayUnavailable if this
-// instance does not follow the store itself, and rowfeed.ErrRelayCutOff if the store does not answer it.
+// Rows returns rows of a table to a peer whose relay this instance is. It returns rowfeed.ErrRelayUnavailable if this instance does
+// not follow the table at the store itself, and rowfeed.ErrRelayCutOff if the store does not answer it.
 func (e *Exchange) Rows(ctx context.Context, query api.GatewayRowsQuery) (api.GatewayRows, error) {
-	if query.Table != e.ServersFollower.Table || !e.ServersFollower.FollowsStore() {
+	follower := e.follower(query.Table)
+	if follower == nil || !follower.FollowsStore() {
 		return api.GatewayRows{}, rowfeed.ErrRelayUnavailable
 	}
-	if e.ServersFollower.Unavailable(time.Now()) {
+	if follower.Unavailable(time.Now()) {
 		return api.GatewayRows{}, rowfeed.ErrRelayCutOff
 	}
-	mirror := e.ServersFollower.Mirror
 	if query.AfterVersion == 0 {
-		return encodeRows(mirror.All(time.Now())), nil
+		page, err := follower.Mirror.All(time.Now())
+		return encodeRows(page), err
 	}
-	page, err := mirror.Changes(ctx, query.AfterVersion, min(maxRowsWait, time.Duration(query.WaitMillis)*time.Millisecond))
+	page, err := follower.Mirror.Changes(ctx, query.AfterVersion, min(maxRowsWait, time.Duration(query.WaitMillis)*time.Millisecond))
 	return encodeRows(page), err
 }
 
+// follower returns the follower of the table, or nil if the table is not followed.
+func (e *Exchange) follower(table string) *rowfeed.Follower {
+	for _, follower := range []*rowfeed.Follower{e.OperatorFollower, e.ServersFollower} {
+		if follower.Table == table {
+			return follower
+		}
+	}
+	return nil
+}
+
 // encodeRows converts a page to the form in which peers exchange it.
 func encodeRows(page rowfeed.Page) api.GatewayRows {
 	rows := api.GatewayRows{Version: page.Version, ClockMillis: page.Clock.Milliseconds()}
--- a/internal/gateway/models.go
+++ b/internal/gateway/models.go
@@ -31,11 +31,8 @@
 	// workHalfLife is the half-life of the recorded work, so that the partition of the servers follows a change of the load
 	// within a minute.
 	workHalfLife = 20 * time.Second
-	// workPrior is the work assumed for each model before any request, in prompt tokens; the model's cost weights it.
+	// workPrior is the work assumed for each model before any request, in prompt tokens.
 	workPrior = 1e5
-	// costExponent relates a model's declared cost to its time for a token. Below 1, because a small share of the servers needs more
-	// reserve than a large one.
-	costExponent = 0.75
 	// defaultModelCost is assumed for a model whose cost is not declared.
 	defaultModelCost = 0.1
 )
@@ -46,7 +43,7 @@
 	rows map[string]map[string]*work
 }
 
-// work is an amount of weighted tokens that decays from updatedAt on.
+// work is an amount of tokens that decays from updatedAt on.
 type work struct {
 	amount    float64
 	updatedAt time.Time
@@ -63,7 +60,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	row := t.row(service, model, now)
-	row.amount = row.decayedAmount(now) + float64(tokens)*tokenWeight(service, model)
+	row.amount = row.decayedAmount(now) + float64(tokens)
 	row.updatedAt = now
 }
 
@@ -94,7 +91,7 @@
 	}
 	row, ok := models[model]
 	if !ok {
-		row = &work{amount: workPrior * tokenWeight(service, model), updatedAt: now}
+		row = &work{amount: workPrior, updatedAt: now}
 		models[model] = row
 	}
 	return row
@@ -104,13 +101,26 @@
 	return w.amount * math.Exp2(-float64(now.Sub(w.updatedAt))/float64(workHalfLife))
 }
 
-// tokenWeight returns the weight of a model's tokens, which stands for the time that a server needs for one.
-func tokenWeight(service *Service, model string) float64 {
-	cost := service.ModelCosts[model]
-	if cost <= 0 {
-		cost = defaultModelCost
+// tokenWeights returns the weight of a token by model, which stands for the time that it takes on a server. Both the declared cost and
+// the measured delay grow with that time; the delay also grows with the load, so that a model whose servers are overloaded gets more
+// of them. The weight is the geometric mean of the two, and of the cost alone until all delays are known.
+func tokenWeights(service *Service, models map[string]*work) map[string]float64 {
+	measured := true
+	for _, row := range models {
+		measured = measured && row.firstEventDelay > 0
 	}
-	return math.Pow(cost, costExponent)
+	weights := make(map[string]float64, len(models))
+	for name, row := range models {
+		cost := service.ModelCosts[name]
+		if cost <= 0 {
+			cost = defaultModelCost
+		}
+		weights[name] = math.Sqrt(cost)
+		if measured {
+			weights[name] = math.Sqrt(cost * row.firstEventDelay.Seconds())
+		}
+	}
+	return weights
 }
 
 // serverRange returns the servers of a service that a model should use, as a range between 0 and 1 that is proportional to the
@@ -122,17 +132,18 @@
 	t.row(service, model, now)
 	models := t.rows[service.Name]
 	names := make([]string, 0, len(models))
+	weights := tokenWeights(service, models)
 	total := 0.0
 	for name, row := range models {
 		names = append(names, name)
-		total += row.decayedAmount(now)
+		total += row.decayedAmount(now) * weights[name]
 	}
 	if total <= 0 {
 		return 0, 1
 	}
 	slices.Sort(names)
 	for _, name := range names {
-		fraction := models[name].decayedAmount(now) / total
+		fraction := models[name].decayedAmount(now) * weights[name] / total
 		if name == model {
 			return from, from + fraction
 		}
--- a/internal/migration/table.go
+++ b/internal/migration/table.go
@@ -227,6 +227,18 @@
 	t.localCounts[key] = count
 }
 
+// HasOrders reports whether any order is known.
+func (t *Table) HasOrders() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range t.migrations {
+		if r.order.Target != "" {
+			return true
+		}
+	}
+	return false
+}
+
 // RunningServices returns the services with a migration whose recorded state is not final.
 func (t *Table) RunningServices() []string {
 	t.mu.Lock()
--- a/internal/rowfeed/mirror.go
+++ b/internal/rowfeed/mirror.go
@@ -76,17 +76,20 @@
 	m.deleted = 0
 }
 
-// All returns the whole table.
-func (m *Mirror) All(now time.Time) Page {
+// All returns the whole table. It returns ErrRelayUnavailable if the table has not been read yet.
+func (m *Mirror) All(now time.Time) (Page, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.version == 0 {
+		return Page{}, ErrRelayUnavailable
+	}
 	page := m.emptyPage(now)
 	for _, row := range m.rows {
 		if !row.Deleted {
 			page.Rows = append(page.Rows, row)
 		}
 	}
-	return page
+	return page, nil
 }
 
 // Changes returns the rows that changed after the version, in the order of their versions, and waits up to wait for the first one.
--- a/internal/rowfeed/relay_test.go
+++ b/internal/rowfeed/relay_test.go
@@ -115,6 +115,9 @@
 func TestMirrorPassesOnChanges(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		m := NewMirror()
+		if page, err := m.All(time.Now()); err == nil {
+			t.Errorf("a table that was not read is passed on as empty: %+v", page)
+		}
 		m.apply(Page{Version: 10, Rows: []Row{{Key: "a", Version: 3}, {Key: "b", Version: 7}}}, true, time.Time{}, time.Now())
 		if _, err := m.Changes(t.Context(), 9, time.Second); !errors.Is(err, ErrHistoryDropped) {
 			t.Errorf("changes before the complete read: %v", err)
@@ -133,8 +136,8 @@
 		if len(page.Rows) != 2 || !page.Rows[0].Deleted || page.Rows[1].Key != "c" || page.Version != 12 {
 			t.Errorf("changes %+v", page)
 		}
-		if all := m.All(time.Now()); len(all.Rows) != 2 {
-			t.Errorf("whole table %+v", all)
+		if all, err := m.All(time.Now()); err != nil || len(all.Rows) != 2 {
+			t.Errorf("whole table %+v, error %v", all, err)
 		}
 		for i := range maxDeletedRows + 1 {
 			m.apply(Page{Rows: []Row{{Key: string(rune(i + 256)), Version: int64(20 + i), Deleted: true}}}, false, time.Time{}, time.Now())
--- a/internal/rowfeed/rowfeed.go
+++ b/internal/rowfeed/rowfeed.go
@@ -275,6 +275,7 @@
 func (f *Follower) deliver(page Page, complete bool) {
 	f.version = max(f.version, page.Version)
 	reconnectedAt := f.recordAnswer(page)
+	f.Handle(Batch{Complete: complete, Rows: page.Rows, Clock: page.Clock, ReconnectedAt: reconnectedAt})
 	if f.Mirror != nil {
 		f.Mirror.apply(page, complete, reconnectedAt, time.Now())
 	}
@@ -288,7 +289,6 @@
 		f.listVersion = max(f.listVersion, page.Version)
 	}
 	f.mu.Unlock()
-	f.Handle(Batch{Complete: complete, Rows: page.Rows, Clock: page.Clock, ReconnectedAt: reconnectedAt})
 }
 
 // recordAnswer records an answer and returns when the store last answered this instance, or the relay, again after failures.
--- a/internal/server/gatewayhttp/gatewayhttp.go
+++ b/internal/server/gatewayhttp/gatewayhttp.go
@@ -32,6 +32,8 @@
 	// maxStateBytes bounds a query and its answer. The largest answers are a configuration of 1 MB and the state of 1,100
 	// backend servers with their loads and counts.
 	maxStateBytes = 4 << 20
+	// minCompressedBytes is the length from which an answer is compressed: lists of servers and instances, and configurations.
+	minCompressedBytes = 4 << 10
 )
 
 func newEcho() *echo.Echo {
@@ -66,6 +68,7 @@
 // PeerHandler returns the handler of the peer address: state, configuration and metrics.
 func PeerHandler(source StateSource, metrics *telemetry.Metrics) http.Handler {
 	e := newEcho()
+	e.Use(middleware.GzipWithConfig(middleware.GzipConfig{Level: gzip.BestSpeed, MinLength: minCompressedBytes}))
 	e.POST(statePath, func(c echo.Context) error {
 		var query api.GatewayQuery
 		if err := json.NewDecoder(io.LimitReader(c.Request().Body, maxStateBytes)).Decode(&query); err != nil {
@@ -90,7 +93,7 @@
 			return echo.NewHTTPError(http.StatusNotFound, "no configuration is in force")
 		}
 		return c.Blob(http.StatusOK, echo.MIMEApplicationJSON, document)
-	}, middleware.Gzip())
+	})
 	e.GET(MetricsPath, func(c echo.Context) error {
 		c.Response().Header().Set(echo.HeaderContentType, "text/plain; version=0.0.4")
 		metrics.WritePrometheus(c.Response())
@@ -181,7 +184,7 @@
 	if err != nil {
 		return 0, nil, errors.Wrap(err, "encode query")
 	}
-	head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nContent-Length: %d\r\n\r\n", path, address, len(body))
+	head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nAccept-Encoding: gzip\r\nContent-Length: %d\r\n\r\n", path, address, len(body))
 	return c.send(ctx, httpconn.Request{Address: address, Method: http.MethodPost, Head: []byte(head), Body: body})
 }
 
