--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -14,6 +14,7 @@
 	"github.com/cicadawall/cicadawall/internal/fault"
 	"github.com/cicadawall/cicadawall/internal/lockorder"
 	"github.com/cicadawall/cicadawall/internal/platform"
+	"github.com/cicadawall/cicadawall/internal/suspend"
 	"github.com/cicadawall/cicadawall/internal/worker"
 )
 
@@ -41,6 +42,8 @@
 	TTL time.Duration
 	// Now returns the time with a monotonic reading; the default is time.Now.
 	Now func() time.Time
+	// Suspended returns how long the machine was suspended in total, which Now does not count; the default is suspend.Total.
+	Suspended func() time.Duration
 }
 
 // Keeper acquires, renews and releases one lease for one instance.
@@ -64,6 +67,8 @@
 	// since. renewedAt is the start of the last successful write.
 	held      bool
 	renewedAt time.Time
+	// suspendedBefore is the total time of suspension at renewedAt.
+	suspendedBefore time.Duration
 }
 
 // Grant is the permission to act as the lease holder for a limited time.
@@ -81,6 +86,9 @@
 	if config.Now == nil {
 		config.Now = time.Now
 	}
+	if config.Suspended == nil {
+		config.Suspended = suspend.Total
+	}
 	return &Keeper{config: config, mu: lockorder.New(lockorder.RankLeases)}
 }
 
@@ -127,9 +135,9 @@
 
 // validUntil returns the end of the lease by the holder's own clock. The lease is shortened by 1/driftDivisor of the TTL and
 // counted from the start of the write. It therefore ends before another instance, which counts the TTL from a later read, may
-// take it.
+// take it. Time in which the machine was suspended counts.
 func (k *Keeper) validUntil(v view) time.Time {
-	return v.renewedAt.Add(k.config.TTL - k.config.TTL/driftDivisor)
+	return v.renewedAt.Add(k.config.TTL - k.config.TTL/driftDivisor - (k.config.Suspended() - v.suspendedBefore))
 }
 
 // Valid reports whether this instance holds the lease at the given time.
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -196,3 +196,22 @@
 		t.Errorf("the longest gap is %v, the limit %v", longest, limit)
 	}
 }
+
+// Guards against a holder that was suspended for longer than the lease lasts and still acts on it: the monotonic clock does not count
+// that time, and another instance holds the lease by then.
+func TestSuspensionEndsLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var suspended time.Duration
+		a := newInstance(memory.NewTable(), "a")
+		a.config.Suspended = func() time.Duration { return suspended }
+		a.acquire(t, true)
+		suspended = DefaultTTL
+		if _, refused := a.Fence(time.Now()); refused == nil || a.Valid(time.Now()) {
+			t.Error("the lease is valid although the holder was suspended for its whole duration")
+		}
+		a.acquire(t, true)
+		if grant, refused := a.Fence(time.Now()); refused != nil || grant.Fence != 2 {
+			t.Errorf("fence %d after the lease was taken again, %v", grant.Fence, refused)
+		}
+	})
+}
--- a/internal/lease/row.go
+++ b/internal/lease/row.go
@@ -41,10 +41,12 @@
 	if v.known {
 		cond = platform.IfVersion(v.version)
 	}
-	started := k.config.Now()
+	started, suspendedBefore := k.config.Now(), k.config.Suspended()
+	renewed := view{known: true, record: next, firstSeen: started, held: true, renewedAt: started, suspendedBefore: suspendedBefore}
 	version, err := k.put(ctx, value, cond)
 	if err == nil {
-		k.setView(view{known: true, record: next, version: version, firstSeen: started, held: true, renewedAt: started})
+		renewed.version = version
+		k.setView(renewed)
 		return k.Valid(k.config.Now()), nil
 	}
 	if errors.Is(err, platform.ErrUnavailable) {
@@ -56,7 +58,8 @@
 	}
 	if current == next {
 		// The write took effect although its reply was lost. Its number is unique, so the lease is valid from its start.
-		k.setView(view{known: true, record: next, version: version, firstSeen: started, held: true, renewedAt: started})
+		renewed.version = version
+		k.setView(renewed)
 		return k.Valid(k.config.Now()), nil
 	}
 	if v.known && version == v.version {
@@ -71,7 +74,7 @@
 	next := view{known: true, record: current, version: version, firstSeen: k.config.Now()}
 	if v.held && current.Holder == k.config.Incarnation && current.Fence == v.record.Fence {
 		next.held = true
-		next.renewedAt = v.renewedAt
+		next.renewedAt, next.suspendedBefore = v.renewedAt, v.suspendedBefore
 	}
 	k.setView(next)
 	return next.held
--- a/internal/table/config.go
+++ b/internal/table/config.go
@@ -9,12 +9,16 @@
 	"github.com/cicadawall/cicadawall/internal/declaration"
 	"github.com/cicadawall/cicadawall/internal/fault"
 	"github.com/cicadawall/cicadawall/internal/lockorder"
+	"github.com/cicadawall/cicadawall/internal/suspend"
 )
 
 // permitValidity is the time within which a permit must be used. It bounds the age of the check if the process is paused
 // between the check and the send.
 const permitValidity = time.Second
 
+// suspensionTolerance is the difference between two measurements of the time of suspension that is taken for inaccuracy.
+const suspensionTolerance = 10 * time.Millisecond
+
 // Eligibility decides, by this instance's registration and the reports of its peers, whether this instance may serve by the
 // revision in force.
 type Eligibility interface {
@@ -30,12 +34,17 @@
 type Config struct {
 	freshnessBound time.Duration
 	eligibility    Eligibility
+	// suspended returns how long the machine was suspended in total; the clock of confirmations and reports does not count that time.
+	suspended func() time.Duration
 
-	mu             *lockorder.RWMutex
-	snapshot       *declaration.Snapshot
-	confirmedAt    time.Time
-	newestRevision int64
-	holds          map[declaration.VersionID]string
+	mu          *lockorder.RWMutex
+	snapshot    *declaration.Snapshot
+	confirmedAt time.Time
+	// suspendedBefore is the total time of suspension at the last confirmation, suspendedSeen the largest one seen.
+	suspendedBefore time.Duration
+	suspendedSeen   time.Duration
+	newestRevision  int64
+	holds           map[declaration.VersionID]string
 }
 
 // ConfigState is a copy of the table at one moment.
@@ -45,16 +54,22 @@
 	ConfirmedAt time.Time
 	// NewestRevision is the highest revision that any peer or the store reported.
 	NewestRevision int64
+
+	suspendedBefore time.Duration
 }
 
 // NewConfig returns a table without a configuration. A confirmation is fresh for freshnessBound; after that the support of a
 // majority is needed. If eligibility is nil, every confirmation counts and no majority is consulted.
 func NewConfig(freshnessBound time.Duration, eligibility Eligibility) *Config {
+	suspended := suspend.Total()
 	return &Config{
-		freshnessBound: freshnessBound,
-		eligibility:    eligibility,
-		mu:             lockorder.NewRW(lockorder.RankConfiguration),
-		holds:          map[declaration.VersionID]string{},
+		freshnessBound:  freshnessBound,
+		eligibility:     eligibility,
+		suspended:       suspend.Total,
+		suspendedBefore: suspended,
+		suspendedSeen:   suspended,
+		mu:              lockorder.NewRW(lockorder.RankConfiguration),
+		holds:           map[declaration.VersionID]string{},
 	}
 }
 
@@ -62,7 +77,9 @@
 func (c *Config) State() ConfigState {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
-	return ConfigState{Snapshot: c.snapshot, ConfirmedAt: c.confirmedAt, NewestRevision: c.newestRevision}
+	return ConfigState{
+		Snapshot: c.snapshot, ConfirmedAt: c.confirmedAt, NewestRevision: c.newestRevision, suspendedBefore: c.suspendedBefore,
+	}
 }
 
 // Snapshot returns the configuration in force, or nil before the first one.
@@ -95,10 +112,17 @@
 
 // Confirm records that a store read which started at the given time found no revision newer than the one given.
 func (c *Config) Confirm(revision int64, start time.Time) {
+	suspended := c.suspended()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if suspended-c.suspendedSeen > suspensionTolerance {
+		// The read may have started before the suspension, which its start time does not show.
+		c.suspendedSeen = suspended
+		return
+	}
 	if c.snapshot != nil && c.snapshot.Revision == revision && start.After(c.confirmedAt) {
 		c.confirmedAt = start
+		c.suspendedBefore = c.suspendedSeen
 	}
 }
 
@@ -151,7 +175,10 @@
 	return state.Snapshot, nil
 }
 
+// eligible reports whether the revision in force may be served by. Time in which the machine was suspended since the last confirmation
+// is added to the age of that confirmation and of the reports of peers; after a suspension only a new confirmation makes either count.
 func (c *Config) eligible(state ConfigState, now time.Time) bool {
+	now = now.Add(c.suspended() - state.suspendedBefore)
 	fresh := !state.ConfirmedAt.IsZero() && now.Sub(state.ConfirmedAt) <= c.freshnessBound
 	if c.eligibility == nil {
 		return fresh
--- a/internal/table/config_test.go
+++ b/internal/table/config_test.go
@@ -83,3 +83,30 @@
 		t.Error("a store read after the registration does not count")
 	}
 }
+
+// Guards against an instance that was suspended and then serves by a revision whose confirmation, or whose support by peers, is older
+// than it seems: the monotonic clock does not count the suspension.
+func TestSuspensionEndsFreshness(t *testing.T) {
+	var suspended time.Duration
+	config := NewConfig(6*time.Second, nil)
+	config.suspended = func() time.Duration { return suspended }
+	config.suspendedBefore, config.suspendedSeen = 0, 0
+	config.Install(&declaration.Snapshot{Revision: 1})
+	now := time.Now()
+	config.Confirm(1, now)
+	if _, problem := config.SnapshotIfEligible(now.Add(time.Second)); problem != nil {
+		t.Fatalf("before the suspension: %v", problem)
+	}
+	suspended = time.Minute
+	if _, problem := config.SnapshotIfEligible(now.Add(2 * time.Second)); problem == nil {
+		t.Error("the confirmation from before the suspension still counts")
+	}
+	config.Confirm(1, now.Add(2*time.Second))
+	if _, problem := config.SnapshotIfEligible(now.Add(2 * time.Second)); problem == nil {
+		t.Error("a read that may have started before the suspension counts as a confirmation")
+	}
+	config.Confirm(1, now.Add(3*time.Second))
+	if _, problem := config.SnapshotIfEligible(now.Add(3 * time.Second)); problem != nil {
+		t.Errorf("after a confirmation since the suspension: %v", problem)
+	}
+}
