--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -19,6 +19,14 @@
 	"github.com/cicadawall/cicadawall/internal/telemetry"
 )
 
+// testTargetGap is the longest pause of a stream that is on time, slowStreamPause one that is nearly as long.
+const (
+	testTargetGap   = 100 * time.Millisecond
+	slowStreamPause = 95 * time.Millisecond
+	// slowStreamEvents makes a slow stream last longer than the timeouts of an attempt.
+	slowStreamEvents = 30
+)
+
 // serverAction is the scripted reaction of a server to one attempt.
 type serverAction struct {
 	err        error
@@ -29,7 +37,10 @@
 	truncated bool
 	// silent servers accept the request and never answer.
 	silent bool
-	body   string
+	// pause precedes each event. With commentsOnly, comments follow the events at this pause until the attempt is cancelled.
+	pause        time.Duration
+	commentsOnly bool
+	body         string
 }
 
 // scriptedBackends performs the actions in order, whichever server an attempt is sent to, and records the attempts.
@@ -52,11 +63,12 @@
 	if a.err != nil {
 		return nil, a.err
 	}
-	return &Reply{Verdict: a.verdict, Confidence: a.confidence, IsEventStream: a.events != nil, Body: &scriptedBody{action: a}}, nil
+	return &Reply{Verdict: a.verdict, Confidence: a.confidence, IsEventStream: a.events != nil, Body: &scriptedBody{ctx: ctx, action: a}}, nil
 }
 
 // scriptedBody is the body of a scripted answer.
 type scriptedBody struct {
+	ctx    context.Context
 	action serverAction
 	next   int
 }
@@ -69,6 +81,14 @@
 }
 
 func (b *scriptedBody) Next() (Event, error) {
+	select {
+	case <-time.After(b.action.pause):
+	case <-b.ctx.Done():
+		return Event{}, b.ctx.Err()
+	}
+	if b.next == len(b.action.events) && b.action.commentsOnly {
+		return Event{Data: []byte(":")}, nil
+	}
 	if b.next == len(b.action.events) {
 		if b.action.truncated {
 			return Event{}, io.ErrUnexpectedEOF
@@ -121,7 +141,7 @@
 			{Name: "look", Host: "h", PathPrefix: "/look/", Kind: KindIdempotent, MaxAttempts: 2, Timeout: 3 * time.Second,
 				TargetLatency: 300 * time.Millisecond, Services: []WeightedService{{"desk", 1}}},
 			{Name: "chat", Host: "h", PathPrefix: "/chat/", Kind: KindStream, Resumable: true, MaxAttempts: 3, Timeout: 20 * time.Second,
-				TargetLatency: 2 * time.Second, HasPrompt: true, Models: []string{"small", "large"},
+				TargetLatency: 2 * time.Second, TargetGap: testTargetGap, HasPrompt: true, Models: []string{"small", "large"},
 				Services: []WeightedService{{"desk", 1}}},
 			{Name: "free", Host: "h", PathPrefix: "/look/free/", Kind: KindIdempotent, AllowAnonymous: true, MaxAttempts: 1,
 				Services: []WeightedService{{"desk", 1}}},
@@ -266,6 +286,29 @@
 	}
 }
 
+// Guards against a stalled stream that never ends because its server sends a comment now and then.
+func TestCommentsAreNoProgress(t *testing.T) {
+	got, backends, took := serveRequest(t, "/chat/x", "key",
+		serverAction{confidence: 90, events: []int{1}, pause: 10 * time.Millisecond, commentsOnly: true},
+		serverAction{confidence: 90, events: []int{2}})
+	if len(backends.attempts) != 2 || backends.attempts[1].LastEventID != "1" || got.aborted || took > time.Second {
+		t.Errorf("%+v after %s and %d attempts", got, took, len(backends.attempts))
+	}
+}
+
+// Guards against a slow but sound stream that is interrupted: its pauses are within the target, and it lasts longer than any of the
+// timeouts of a single attempt.
+func TestSlowStreamIsNotInterrupted(t *testing.T) {
+	var events []int
+	for i := range slowStreamEvents {
+		events = append(events, i+1)
+	}
+	got, backends, took := serveRequest(t, "/chat/x", "key", serverAction{confidence: 90, events: events, pause: slowStreamPause})
+	if len(backends.attempts) != 1 || got.aborted || took < slowStreamEvents*slowStreamPause {
+		t.Errorf("%+v after %s and %d attempts", got, took, len(backends.attempts))
+	}
+}
+
 // Guards against requests with an unknown route or API key that reach a server or are refused with the wrong code.
 func TestRoutesAndKeysAreChecked(t *testing.T) {
 	for _, c := range []struct {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -46,7 +46,10 @@
 		if err != nil {
 			return r.handleBrokenStream(server, err)
 		}
-		timer.reset()
+		if event.LastID != "" {
+			// Bytes without an event, such as comments, are no progress.
+			timer.reset()
+		}
 		if err := r.relayEvent(reply, event, firstAt); err != nil {
 			server.End(backend.ResultNeutral, time.Now())
 			r.recordDelivery(err)
