--- a/internal/server/gatewayhttp/gatewayhttp.go
+++ b/internal/server/gatewayhttp/gatewayhttp.go
@@ -68,14 +68,15 @@
 // PeerHandler returns the handler of the peer address: state, configuration and metrics.
 func PeerHandler(source StateSource, metrics *telemetry.Metrics) http.Handler {
 	e := newEcho()
-	e.Use(middleware.GzipWithConfig(middleware.GzipConfig{Level: gzip.BestSpeed, MinLength: minCompressedBytes}))
+	encoder := newRowsEncoder()
+	compress := middleware.GzipWithConfig(middleware.GzipConfig{Level: gzip.BestSpeed, MinLength: minCompressedBytes})
 	e.POST(statePath, func(c echo.Context) error {
 		var query api.GatewayQuery
 		if err := json.NewDecoder(io.LimitReader(c.Request().Body, maxStateBytes)).Decode(&query); err != nil {
 			return echo.NewHTTPError(http.StatusBadRequest, "the body is not a valid GatewayQuery")
 		}
 		return c.JSON(http.StatusOK, source.State(query))
-	})
+	}, compress)
 	e.POST(rowsPath, func(c echo.Context) error {
 		var query api.GatewayRowsQuery
 		if err := json.NewDecoder(io.LimitReader(c.Request().Body, maxStateBytes)).Decode(&query); err != nil {
@@ -85,7 +86,7 @@
 		if err != nil {
 			return c.NoContent(rowsStatus(err))
 		}
-		return c.JSON(http.StatusOK, rows)
+		return encoder.write(c, query, rows)
 	})
 	e.GET(configurationPath, func(c echo.Context) error {
 		document := source.Document()
@@ -93,7 +94,7 @@
 			return echo.NewHTTPError(http.StatusNotFound, "no configuration is in force")
 		}
 		return c.Blob(http.StatusOK, echo.MIMEApplicationJSON, document)
-	})
+	}, compress)
 	e.GET(MetricsPath, func(c echo.Context) error {
 		c.Response().Header().Set(echo.HeaderContentType, "text/plain; version=0.0.4")
 		metrics.WritePrometheus(c.Response())
@@ -131,18 +132,6 @@
 	return document, errors.Wrapf(err, "fetch configuration of peer %s", address)
 }
 
-// rowsStatus returns the status of an answer without rows.
-func rowsStatus(err error) int {
-	switch {
-	case errors.Is(err, rowfeed.ErrHistoryDropped):
-		return http.StatusGone
-	case errors.Is(err, rowfeed.ErrRelayCutOff):
-		return http.StatusBadGateway
-	default:
-		return http.StatusServiceUnavailable
-	}
-}
-
 // Rows implements rowfeed.RelayTransport.
 func (c *Client) Rows(ctx context.Context, address, table string, after int64, wait time.Duration) (rowfeed.Page, error) {
 	query := api.GatewayRowsQuery{Table: table, AfterVersion: after, WaitMillis: wait.Milliseconds()}
