--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -32,9 +32,6 @@
 	// staleConnectionTimeout is the time within which an attempt fails on a reused connection that the server had already closed:
 	// a round trip and a margin for a slow machine.
 	staleConnectionTimeout = 50 * time.Millisecond
-	// attemptTimeoutRatio times the route's target latency is the time after which an attempt without an answer is abandoned for
-	// another server, if the request may be repeated.
-	attemptTimeoutRatio = 1.0
 	// gapTimeoutRatio times the route's target gap is the time without events after which a stream resumes at another server.
 	gapTimeoutRatio = 2.5
 )
@@ -265,20 +262,6 @@
 // errStopping is the cause with which requests still in flight are cancelled when the instance stops.
 var errStopping = errors.New("the instance is shutting down")
 
-// errAttemptTimeout is the cause with which an attempt is cancelled when another server may answer sooner.
-var errAttemptTimeout = errors.New("no answer within the timeout of the attempt")
-
-// startAttemptTimer cancels the attempt after a timeout if the request may be retried at another server. It returns a function
-// that stops the timer.
-func (r *requestJob) startAttemptTimer(cancel context.CancelCauseFunc) func() {
-	if !r.route.Repeatable() || r.route.TargetLatency == 0 || r.executions+1 >= r.route.MaxAttempts {
-		return func() {}
-	}
-	timeout := time.Duration(attemptTimeoutRatio * float64(r.route.TargetLatency))
-	timer := time.AfterFunc(timeout, func() { cancel(errAttemptTimeout) })
-	return func() { timer.Stop() }
-}
-
 // handleSendError records an attempt without an answer and reports whether another attempt may follow.
 func (r *requestJob) handleSendError(server *backend.Attempt, err error) bool {
 	sent, staleConnection := true, false
