--- a/internal/gateway/models.go
+++ b/internal/gateway/models.go
@@ -15,11 +15,11 @@
 	minAcceptedConfidence = 55
 	// minLateConfidence replaces minAcceptedConfidence if the answer of the largest model would certainly be late. An answer that is
 	// probably right now then serves the caller better than a certain one too late, and the servers of the large model recover.
-	minLateConfidence = 25
+	minLateConfidence = 15
 	// onTimeRatio and lateRatio are the ratios of the expected delay of the largest model to the time left until the target at which
 	// its answer is probably in time and certainly late.
-	onTimeRatio = 0.8
-	lateRatio   = 2.0
+	onTimeRatio = 0.6
+	lateRatio   = 1.5
 	// firstEventWeight is the weight of a new attempt in the moving average of a model's delay.
 	firstEventWeight = 0.1
 	// escalationBudgetFraction is the fraction of the retry budget that escalations may use; the rest is reserved for retries
