--- /dev/null
+++ b/internal/e2e/fleet_stop_test.go
@@ -0,0 +1,92 @@
+package e2e
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const (
+	// stopCallers is the number of callers of each kind that send requests without a pause around a planned stop.
+	stopCallers = 4
+	// stopRepeats is the number of planned stops in a row; a stop is repeated while the callers of the last one still run.
+	stopRepeats = 2
+)
+
+// stopOutcomes collects the requests that a planned stop cut off.
+type stopOutcomes struct {
+	mu       sync.Mutex
+	answered int
+	cut      []string
+}
+
+// Guards against a planned stop under load that cuts off requests which had just been accepted, on new connections and on kept ones.
+// Each request must be answered, by a server or as not run, unless the instance no longer listens or closed a kept connection
+// without sending the request on. A second signal during the stop must not shorten it.
+func TestFleetStopUnderLoad(t *testing.T) {
+	f := newFleet(t, 1)
+	i := f.instances[0]
+	for repeat := range stopRepeats {
+		var outcomes stopOutcomes
+		var stopped atomic.Bool
+		var callers sync.WaitGroup
+		for n := range stopCallers {
+			for _, kept := range []bool{true, false} {
+				callers.Go(func() { f.callUntil(i, &stopped, &outcomes, fmt.Sprintf("stop-%d-%d-%t", repeat, n, kept), kept) })
+			}
+		}
+		eventually(t, startTimeout, "requests are answered", func() bool { return outcomes.count() > 10*stopCallers })
+		i.process.signal(syscall.SIGTERM)
+		i.process.signal(syscall.SIGTERM)
+		i.process.waitForExit(startTimeout)
+		stopped.Store(true)
+		callers.Wait()
+		for _, cut := range outcomes.cut {
+			t.Error(cut)
+		}
+		f.startInstanceProcess(i)
+		f.awaitReady(i)
+	}
+}
+
+// callUntil sends requests of each kind in turn until stopped, on kept connections or on a new one each.
+func (f *fleet) callUntil(i *fleetInstance, stopped *atomic.Bool, outcomes *stopOutcomes, prefix string, kept bool) {
+	caller := *i
+	transport := &http.Transport{DisableKeepAlives: !kept, MaxIdleConnsPerHost: 1}
+	defer transport.CloseIdleConnections()
+	caller.client = &http.Client{Transport: transport, Timeout: 8 * time.Second}
+	for n := 0; !stopped.Load(); n++ {
+		kind := []struct{ method, path string }{{http.MethodPost, "/buy/x"}, {http.MethodPost, "/chat/x"}, {http.MethodPost, "/look/x"}}[n%3]
+		id := fmt.Sprintf("%s-%d", prefix, n)
+		got := f.send(&caller, kind.method, kind.path, id)
+		ran := len(f.runsOf(id)) > 0
+		outcomes.record(id, got, ran, kept)
+	}
+}
+
+func (o *stopOutcomes) count() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.answered
+}
+
+// record counts an answer, or describes a request that was cut off. Kept says that it used a kept connection.
+func (o *stopOutcomes) record(id string, got reply, ran, kept bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	switch {
+	case got.err == nil && got.status == http.StatusOK:
+		o.answered++
+	case got.err == nil && got.status == http.StatusServiceUnavailable && !ran:
+	case errors.Is(got.err, syscall.ECONNREFUSED):
+	case got.err != nil && !ran && kept:
+		// The request crossed the close of its connection and was not sent on.
+	default:
+		o.cut = append(o.cut, fmt.Sprintf("request %s was cut off: ran %t, %+v", id, ran, got))
+	}
+}
