--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -1,4 +1,5 @@
-// Package exchange shares state between the instances of the gateway: the counts of good and bad answers and, while the store is unavailable to an instance, the configuration, the servers and the state of migrations.
+// Package exchange shares state between the instances of the gateway: the counts of good and bad answers, the tables of the store that
+// relays pass on, and, while the store is unavailable to an instance, the configuration, the servers and the state of migrations.
 package exchange
 
 import (
@@ -34,8 +35,8 @@
 	evidenceRounds = 2
 	// configurationTimeout is the timeout for fetching a configuration over a slow link: 1 MB takes 0.8 s at 10 Mbit/s.
 	configurationTimeout = 5 * time.Second
-	// fullStateRounds is the number of rounds between two pulls of the list of instances, which is long.
-	fullStateRounds = 16
+	// discoverRounds is the number of rounds between two pulls of the list of instances, which is long.
+	discoverRounds = 16
 	// peerExpiry is the time after which a peer that does not answer is removed.
 	peerExpiry = 10 * time.Second
 )
@@ -183,7 +184,7 @@
 func (e *Exchange) Round(ctx context.Context) error {
 	storeUnavailable := e.StoreUnavailable(time.Now())
 	e.roundCount++
-	query := api.GatewayQuery{From: e.Identity, Full: storeUnavailable, Discover: e.roundCount%fullStateRounds == 0}
+	query := api.GatewayQuery{From: e.Identity, Full: storeUnavailable, Discover: e.roundCount%discoverRounds == 0}
 	queries := e.planQueries(query)
 	done := make(chan struct{}, len(queries))
 	for address, query := range queries {
--- a/internal/gateway/models.go
+++ b/internal/gateway/models.go
@@ -13,8 +13,8 @@
 	// minAcceptedConfidence is the lowest confidence at which the answer of a smaller model is accepted. At 50 a model is as
 	// likely right as wrong; the threshold is higher because a wrong answer costs more than another run.
 	minAcceptedConfidence = 55
-	// minLateConfidence replaces minAcceptedConfidence if the answer of the largest model would certainly be late. An answer that is
-	// probably right now then serves the caller better than a certain one too late, and the servers of the large model recover.
+	// minLateConfidence replaces minAcceptedConfidence if the answer of the largest model would certainly be late. A less certain answer
+	// in time then serves the caller better than a good one too late or never, and the servers of the largest model recover.
 	minLateConfidence = 15
 	// onTimeRatio and lateRatio are the ratios of the expected delay of the largest model to the time left until the target at which
 	// its answer is probably in time and certainly late.
@@ -37,22 +37,23 @@
 	defaultModelCost = 0.1
 )
 
-// modelTable holds the recent work of each model of a service, with exponential decay. It is safe for concurrent use.
+// modelTable holds the recent load of each model of a service. It is safe for concurrent use.
 type modelTable struct {
 	mu   *lockorder.Mutex
-	rows map[string]map[string]*work
+	rows map[string]map[string]*modelLoad
 }
 
-// work is an amount of tokens that decays from updatedAt on.
-type work struct {
-	amount    float64
+// modelLoad is the recent load of one model.
+type modelLoad struct {
+	// work is an amount of tokens that decays from updatedAt on.
+	work      float64
 	updatedAt time.Time
 	// firstEventDelay is the moving average of the time from the start of an attempt to its first event, or to its end without one.
 	firstEventDelay time.Duration
 }
 
 func newModelTable() *modelTable {
-	return &modelTable{mu: lockorder.New(lockorder.RankVersions), rows: map[string]map[string]*work{}}
+	return &modelTable{mu: lockorder.New(lockorder.RankVersions), rows: map[string]map[string]*modelLoad{}}
 }
 
 // addWork records work of a model, given in prompt tokens.
@@ -60,7 +61,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	row := t.row(service, model, now)
-	row.amount = row.decayedAmount(now) + float64(tokens)
+	row.work = row.decayedWork(now) + float64(tokens)
 	row.updatedAt = now
 }
 
@@ -83,28 +84,28 @@
 	return t.row(service, model, now).firstEventDelay
 }
 
-func (t *modelTable) row(service *Service, model string, now time.Time) *work {
+func (t *modelTable) row(service *Service, model string, now time.Time) *modelLoad {
 	models, ok := t.rows[service.Name]
 	if !ok {
-		models = map[string]*work{}
+		models = map[string]*modelLoad{}
 		t.rows[service.Name] = models
 	}
 	row, ok := models[model]
 	if !ok {
-		row = &work{amount: workPrior, updatedAt: now}
+		row = &modelLoad{work: workPrior, updatedAt: now}
 		models[model] = row
 	}
 	return row
 }
 
-func (w *work) decayedAmount(now time.Time) float64 {
-	return w.amount * math.Exp2(-float64(now.Sub(w.updatedAt))/float64(workHalfLife))
+func (l *modelLoad) decayedWork(now time.Time) float64 {
+	return l.work * math.Exp2(-float64(now.Sub(l.updatedAt))/float64(workHalfLife))
 }
 
 // tokenWeights returns the weight of a token by model, which stands for the time that it takes on a server. Both the declared cost and
 // the measured delay grow with that time; the delay also grows with the load, so that a model whose servers are overloaded gets more
 // of them. The weight is the geometric mean of the two, and of the cost alone until all delays are known.
-func tokenWeights(service *Service, models map[string]*work) map[string]float64 {
+func tokenWeights(service *Service, models map[string]*modelLoad) map[string]float64 {
 	measured := true
 	for _, row := range models {
 		measured = measured && row.firstEventDelay > 0
@@ -136,14 +137,14 @@
 	total := 0.0
 	for name, row := range models {
 		names = append(names, name)
-		total += row.decayedAmount(now) * weights[name]
+		total += row.decayedWork(now) * weights[name]
 	}
 	if total <= 0 {
 		return 0, 1
 	}
 	slices.Sort(names)
 	for _, name := range names {
-		fraction := models[name].decayedAmount(now) * weights[name] / total
+		fraction := models[name].decayedWork(now) * weights[name] / total
 		if name == model {
 			return from, from + fraction
 		}
