--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -285,7 +285,7 @@
 	}
 	server.End(result, time.Now())
 	r.log("attempt ended without a response from the backend server", "server", server.Entry.ID, "sent", sent,
-		"kept_connection", staleConnection, "error", err.Error())
+		"kept_connection", staleConnection, "shared_parts", sharedPartIDs(r.request.Prompt), "error", err.Error())
 	if sent {
 		r.executions++
 		r.mayHaveRun = true
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -44,7 +44,7 @@
 			return false
 		}
 		if err != nil {
-			return r.handleBrokenStream(server, err)
+			return r.handleBrokenStream(server, delivered-1, err)
 		}
 		if event.LastID != "" {
 			// Bytes without an event, such as comments, are no progress.
@@ -90,8 +90,8 @@
 	r.lastEventAt = now
 }
 
-// handleBrokenStream records a stream that was cut off and reports whether it should resume at another server.
-func (r *requestJob) handleBrokenStream(server *backend.Attempt, err error) bool {
+// handleBrokenStream records a stream that was cut off after some deliveries and reports whether it should resume at another server.
+func (r *requestJob) handleBrokenStream(server *backend.Attempt, delivered int, err error) bool {
 	requestEnded := r.ctx.Err() != nil
 	result := backend.ResultFailure
 	if requestEnded {
@@ -102,7 +102,8 @@
 		r.observeVersion(server, "", true, 0)
 	}
 	r.mayHaveRun = true
-	r.log("stream of the backend server was interrupted", "server", server.Entry.ID, "after", r.lastEventID, "error", err.Error())
+	r.log("stream of the backend server was interrupted", "server", server.Entry.ID, "after", r.lastEventID, "deliveries", delivered,
+		"shared_parts", sharedPartIDs(r.request.Prompt), "error", err.Error())
 	return r.retryOrFinish(false)
 }
 
