--- /dev/null
+++ b/internal/gateway/crash_test.go
@@ -0,0 +1,197 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/cicadawall/cicadawall/internal/backend"
+)
+
+const (
+	// crashingPart is a part of a prompt that ends every server that begins to answer it.
+	crashingPart = "crashing"
+	// crashEvidence and crashReaction are the users' bound: so many crashes, and the time after them in which at most
+	// maxLateCrashRequests requests with the part may still reach a server.
+	crashEvidence        = 5
+	crashReaction        = 3 * time.Second
+	maxLateCrashRequests = 3
+)
+
+// crashingBackends answers every prompt, but a server ends when it begins to answer one with crashingPart: all requests that it works
+// on break off, and for some seconds it accepts no connections.
+type crashingBackends struct {
+	mu         sync.Mutex
+	downUntil  map[string]time.Time
+	ended      map[string]chan struct{}
+	crashes    []time.Time
+	crashSends []time.Time
+}
+
+func newCrashingBackends() *crashingBackends {
+	return &crashingBackends{downUntil: map[string]time.Time{}, ended: map[string]chan struct{}{}}
+}
+
+func hasPart(prompt []backend.PromptPart, id string) bool {
+	for _, part := range prompt {
+		if part.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
+// accept records a request at a server and returns a channel that is closed when the server ends.
+func (b *crashingBackends) accept(attempt Attempt) (ended chan struct{}, accepted bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	id := attempt.Server.ID
+	if time.Now().Before(b.downUntil[id]) {
+		return nil, false
+	}
+	if hasPart(attempt.Request.Prompt, crashingPart) {
+		b.crashSends = append(b.crashSends, time.Now())
+	}
+	if b.ended[id] == nil {
+		b.ended[id] = make(chan struct{})
+	}
+	return b.ended[id], true
+}
+
+// crash ends the server.
+func (b *crashingBackends) crash(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.ended[id] == nil {
+		return
+	}
+	close(b.ended[id])
+	b.ended[id] = nil
+	b.downUntil[id] = time.Now().Add(3 * time.Second)
+	b.crashes = append(b.crashes, time.Now())
+}
+
+func (b *crashingBackends) Send(ctx context.Context, attempt Attempt) (*Reply, error) {
+	ended, accepted := b.accept(attempt)
+	if !accepted {
+		return nil, &SendError{Cause: errors.New("connection refused")}
+	}
+	select {
+	case <-time.After(200 * time.Millisecond):
+	case <-ended:
+		return nil, &SendError{Sent: true, Cause: io.ErrUnexpectedEOF}
+	case <-ctx.Done():
+		return nil, &SendError{Sent: true, Cause: ctx.Err()}
+	}
+	return &Reply{Confidence: 100, IsEventStream: true, Body: &crashingBody{backends: b, attempt: attempt, ended: ended}}, nil
+}
+
+// crashingBody is a stream of eight events.
+type crashingBody struct {
+	backends *crashingBackends
+	attempt  Attempt
+	ended    chan struct{}
+	next     int
+}
+
+func (b *crashingBody) ReadAll(int) ([]byte, error) { return nil, errors.New("not a stream") }
+func (b *crashingBody) Close()                      {}
+
+func (b *crashingBody) Next() (Event, error) {
+	if b.next == 8 {
+		return Event{}, io.EOF
+	}
+	select {
+	case <-time.After(50 * time.Millisecond):
+	case <-b.ended:
+		return Event{}, io.ErrUnexpectedEOF
+	}
+	if hasPart(b.attempt.Request.Prompt, crashingPart) {
+		b.backends.crash(b.attempt.Server.ID)
+		return Event{}, io.ErrUnexpectedEOF
+	}
+	b.next++
+	return Event{LastID: strconv.Itoa(b.next), Data: []byte("event ")}, nil
+}
+
+// sinceEvidence returns the time since the crash of the number crashEvidence, or zero before it.
+func (b *crashingBackends) sinceEvidence() time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.crashes) < crashEvidence {
+		return 0
+	}
+	return time.Since(b.crashes[crashEvidence-1])
+}
+
+// lateCrashSends returns how many requests with the part reached a server later than crashReaction after the crash of the number
+// crashEvidence.
+func (b *crashingBackends) lateCrashSends() int {
+	if len(b.crashes) < crashEvidence {
+		return 0
+	}
+	late := 0
+	for _, at := range b.crashSends {
+		if at.Sub(b.crashes[crashEvidence-1]) > crashReaction {
+			late++
+		}
+	}
+	return late
+}
+
+// sendPrompt sends a request for a prompt, whose last part is its own.
+func sendPrompt(ctx context.Context, g *Gateway, id string, parts ...string) *recordingCaller {
+	caller := &recordingCaller{}
+	request := &Request{ID: id, Host: "h", Path: "/chat/x", Key: "key", AnyModel: true, Model: anyTestModel, Arrived: time.Now(), Timeout: 20 * time.Second}
+	for _, part := range append(parts, "own part of "+id) {
+		request.Prompt = append(request.Prompt, backend.PromptPart{ID: part, Tokens: 100})
+	}
+	g.Serve(ctx, request, caller)
+	return caller
+}
+
+const anyTestModel = "*"
+
+// Guards against requests with one part in their prompts that end one server after the other.
+func TestCrashingPromptIsKeptFromServers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		backends := newCrashingBackends()
+		g := newGateway(12, backends, slog.New(slog.NewJSONHandler(io.Discard, nil)))
+		defer g.Stop()
+		var requests sync.WaitGroup
+		var mu sync.Mutex
+		soundServed, soundAsked := 0, 0
+		for n := range 100 {
+			requests.Go(func() { sendPrompt(t.Context(), g, "crashing-"+strconv.Itoa(n), "common", "document", crashingPart) })
+			for m := range 3 {
+				late := backends.sinceEvidence() > 2*crashReaction
+				requests.Go(func() {
+					caller := sendPrompt(t.Context(), g, strconv.Itoa(n)+"-"+strconv.Itoa(m), "common", "document")
+					mu.Lock()
+					defer mu.Unlock()
+					if late {
+						soundAsked++
+						if caller.text != "" {
+							soundServed++
+						}
+					}
+				})
+			}
+			<-time.After(250 * time.Millisecond)
+		}
+		requests.Wait()
+		if late := backends.lateCrashSends(); late > maxLateCrashRequests {
+			t.Errorf("%d requests reached servers late, %d servers ended", late, len(backends.crashes))
+		}
+		if soundAsked > 0 && 2*soundServed < soundAsked {
+			t.Errorf("%d of %d sound requests were served", soundServed, soundAsked)
+		}
+	})
+}
