Hold requests whose prompt part crashes backend servers

Cause: a server that ends was evidence against the server only. The request was sent again to up to MaxAttempts servers and ended each of them, and nothing remembered what the requests had in common.

Change: package crashguard collects such crashes with the shared parts of their prompts. A part that was answered after a crash is no suspect for it. From three separate crashes by two requests on, requests with the part are refused at once and those that wait in a server's queue are cancelled; after the hold time one instance tries one request. A request is sent to no third server if two may have ended because of it.

--- a/internal/api/peer.gen.go
+++ b/internal/api/peer.gen.go
@@ -209,6 +209,20 @@
 	Version       string `json:"version" yaml:"version"`
 }
 
+// GatewayCrash End of a backend server while it began to answer a request.
+type GatewayCrash struct {
+	// AgeMillis Time since the crash in milliseconds.
+	AgeMillis int64 `json:"ageMillis" yaml:"ageMillis"`
+
+	// Parts Shared parts of the prompt that no backend server has answered since.
+	Parts   []string `json:"parts,omitempty" yaml:"parts,omitempty"`
+	Request string   `json:"request" yaml:"request"`
+
+	// Server Identity of the process of the backend server.
+	Server  string `json:"server" yaml:"server"`
+	Service string `json:"service" yaml:"service"`
+}
+
 // GatewayInstance Value of the row that announces an instance to its peers.
 type GatewayInstance struct {
 	AvailabilityZone string `json:"availabilityZone,omitempty" yaml:"availabilityZone,omitempty"`
@@ -255,6 +269,12 @@
 	// Counts Counts of the sender, included in queries to the peers that decide on a migration.
 	Counts []GatewayCount `json:"counts,omitempty" yaml:"counts,omitempty"`
 
+	// CrashDigest Digest of all crashes that the sender knows; absent if there are none.
+	CrashDigest int64 `json:"crashDigest,omitempty" yaml:"crashDigest,omitempty"`
+
+	// Crashes Recent crashes that the sender knows.
+	Crashes []GatewayCrash `json:"crashes,omitempty" yaml:"crashes,omitempty"`
+
 	// Discover Whether the list of instances is requested.
 	Discover bool `json:"discover,omitempty" yaml:"discover,omitempty"`
 
@@ -312,7 +332,10 @@
 type GatewayState struct {
 	ConfigurationVersion int64          `json:"configurationVersion" yaml:"configurationVersion"`
 	Counts               []GatewayCount `json:"counts,omitempty" yaml:"counts,omitempty"`
-	Incarnation          string         `json:"incarnation" yaml:"incarnation"`
+
+	// Crashes Crashes that the sender knows, if the digest of the query differs from its own.
+	Crashes     []GatewayCrash `json:"crashes,omitempty" yaml:"crashes,omitempty"`
+	Incarnation string         `json:"incarnation" yaml:"incarnation"`
 
 	// Instances Known instances, if requested.
 	Instances  []GatewayInstance  `json:"instances,omitempty" yaml:"instances,omitempty"`
--- /dev/null
+++ b/internal/crashguard/hold_test.go
@@ -0,0 +1,72 @@
+package crashguard
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// crashAt returns the crash of a server of its own, some milliseconds after a fixed time.
+func crashAt(millis int, request string, parts ...string) Crash {
+	return Crash{
+		Service: "desk", Server: "server-" + strconv.Itoa(millis), Request: request, Parts: parts,
+		At: time.Unix(1000, 0).Add(time.Duration(millis) * time.Millisecond),
+	}
+}
+
+// Guards against a hold of parts that were only beside the harmful one, of a part after a single request or after servers that ended
+// together, and against a harmful part that is not found.
+func TestHoldsNameTheHarmfulPart(t *testing.T) {
+	for name, c := range map[string]struct {
+		crashes []Crash
+		want    [][]string
+	}{
+		"harmful part beside others": {
+			[]Crash{crashAt(0, "a", "book", "bad"), crashAt(500, "b", "page", "bad"), crashAt(900, "c", "book", "bad")}, [][]string{{"bad"}},
+		},
+		"parts that were always together": {
+			[]Crash{crashAt(0, "a", "book", "bad"), crashAt(500, "b", "book", "bad"), crashAt(900, "c", "book", "bad")}, [][]string{{"bad", "book"}},
+		},
+		"two harmful parts": {
+			[]Crash{
+				crashAt(0, "a", "bad"), crashAt(300, "b", "worse"), crashAt(600, "c", "bad"), crashAt(900, "d", "worse"),
+				crashAt(1200, "e", "bad"), crashAt(1500, "f", "worse"), crashAt(1800, "g", "worse"),
+			}, [][]string{{"worse"}, {"bad"}},
+		},
+		"too few crashes":          {[]Crash{crashAt(0, "a", "bad"), crashAt(500, "b", "bad")}, nil},
+		"a single request":         {[]Crash{crashAt(0, "a", "bad"), crashAt(500, "a", "bad"), crashAt(900, "a", "bad")}, nil},
+		"servers ended together":   {[]Crash{crashAt(0, "a", "bad"), crashAt(10, "b", "bad"), crashAt(20, "c", "bad")}, nil},
+		"different parts":          {[]Crash{crashAt(0, "a", "x"), crashAt(500, "b", "y"), crashAt(900, "c", "z")}, nil},
+		"parts that were answered": {[]Crash{crashAt(0, "a"), crashAt(500, "b"), crashAt(900, "c")}, nil},
+	} {
+		var got [][]string
+		for _, hold := range holds("desk", c.crashes) {
+			got = append(got, hold.Parts)
+		}
+		if diff := cmp.Diff(c.want, got); diff != "" {
+			t.Errorf("%s: %s", name, diff)
+		}
+	}
+}
+
+// Guards against one process of a server that counts twice because several instances reported its end.
+func TestServerProcessCountsOnce(t *testing.T) {
+	first, second, third := crashAt(0, "a", "bad"), crashAt(500, "b", "bad"), crashAt(900, "c", "bad")
+	second.Server = first.Server
+	if found := holds("desk", []Crash{first, second, third}); found != nil {
+		t.Errorf("held after two servers: %+v", found)
+	}
+}
+
+// Guards against trials that follow each other at the same pace although the part stays harmful, and against an overflow.
+func TestHoldTimeGrowsWithCrashes(t *testing.T) {
+	for crashes, want := range map[int]time.Duration{
+		minCrashes: minHoldTime, minCrashes + 1: 2 * minHoldTime, minCrashes + 2: 4 * minHoldTime, 1000: maxHoldTime,
+	} {
+		if got := holdTime(crashes); got != want {
+			t.Errorf("%d crashes: %s, want %s", crashes, got, want)
+		}
+	}
+}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -11,6 +11,7 @@
 
 	"github.com/cicadawall/cicadawall/internal/api"
 	"github.com/cicadawall/cicadawall/internal/backend"
+	"github.com/cicadawall/cicadawall/internal/crashguard"
 	"github.com/cicadawall/cicadawall/internal/gateway"
 	"github.com/cicadawall/cicadawall/internal/lockorder"
 	"github.com/cicadawall/cicadawall/internal/migration"
@@ -57,6 +58,7 @@
 	Configurations *gateway.ConfigurationTable
 	Directory      *backend.Directory
 	Migrations     *migration.Table
+	Crashes        *crashguard.Table
 	// AdoptConfiguration puts a fetched configuration in force; source is the address of the peer that it comes from.
 	AdoptConfiguration func(document []byte, source string)
 	Transport          Transport
@@ -184,7 +186,10 @@
 func (e *Exchange) Round(ctx context.Context) error {
 	storeUnavailable := e.StoreUnavailable(time.Now())
 	e.roundCount++
-	query := api.GatewayQuery{From: e.Identity, Full: storeUnavailable, Discover: e.roundCount%discoverRounds == 0}
+	query := api.GatewayQuery{
+		From: e.Identity, Full: storeUnavailable, Discover: e.roundCount%discoverRounds == 0,
+		Crashes: e.recentCrashes(time.Now()), CrashDigest: e.Crashes.Digest(),
+	}
 	queries := e.planQueries(query)
 	done := make(chan struct{}, len(queries))
 	for address, query := range queries {
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/cicadawall/cicadawall/internal/api"
 	"github.com/cicadawall/cicadawall/internal/backend"
+	"github.com/cicadawall/cicadawall/internal/crashguard"
 	"github.com/cicadawall/cicadawall/internal/gateway"
 	"github.com/cicadawall/cicadawall/internal/migration"
 	"github.com/cicadawall/cicadawall/internal/rowfeed"
@@ -65,7 +66,8 @@
 	configurations := gateway.NewConfigurationTable()
 	node := New(Options{
 		Identity: api.GatewayInstance{PeerAddress: address, Incarnation: "incarnation of " + address}, Seeds: seeds, Configurations: configurations,
-		Directory: backend.NewDirectory(), Migrations: migration.NewTable(0.15), Transport: n, OperatorFollower: feed(), ServersFollower: feed(),
+		Directory: backend.NewDirectory(), Migrations: migration.NewTable(0.15), Crashes: crashguard.NewTable(crashguard.Options{MayTry: func(string) bool { return false }, Log: log}),
+		Transport: n, OperatorFollower: feed(), ServersFollower: feed(),
 		AdoptConfiguration: func(document []byte, _ string) {
 			version, _ := strconv.ParseInt(string(document), 10, 64)
 			configurations.Adopt((&gateway.Configuration{Version: version, Document: document}).Compile())
@@ -178,3 +180,44 @@
 		}
 	})
 }
+
+// Guards against crashes that reach a large fleet too late: each instance sees at most one of them, and requests must be held everywhere
+// within 3 s of the fifth.
+func TestCrashesReachLargeFleet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const instances, reactionRounds = 300, 6
+		n := newNetwork()
+		var nodes []*Exchange
+		for i := range instances {
+			nodes = append(nodes, n.add("peer-"+strconv.Itoa(i), false))
+		}
+		for _, node := range nodes {
+			for _, other := range nodes {
+				node.PutPeer(other.Identity)
+			}
+		}
+		for i, node := range nodes[:5] {
+			now := time.Now()
+			prompt := []backend.PromptPart{{ID: "bad"}, {ID: "own"}}
+			node.Crashes.Begin("desk", "server-"+strconv.Itoa(i), "request-"+strconv.Itoa(i), prompt, false, nil).Crashed(now)
+			<-time.After(300 * time.Millisecond)
+		}
+		for range reactionRounds {
+			round(t, nodes...)
+			<-time.After(Interval)
+		}
+		prompt, without := []backend.PromptPart{{ID: "bad"}, {ID: "other"}}, 0
+		for _, node := range nodes {
+			if !node.Crashes.Check("desk", prompt, false, time.Now()).Held {
+				without++
+			}
+		}
+		if without > 0 {
+			t.Errorf("%d of %d instances do not hold the prompt", without, instances)
+		}
+		before := nodes[0].State(api.GatewayQuery{From: nodes[1].Identity, CrashDigest: nodes[0].Crashes.Digest()})
+		if len(before.Crashes) > 0 {
+			t.Error("crashes that the peer knows are sent")
+		}
+	})
+}
--- a/internal/exchange/merge.go
+++ b/internal/exchange/merge.go
@@ -26,6 +26,7 @@
 		e.mergeMigration(m, now)
 	}
 	e.mergeCounts(state.Incarnation, state.Counts)
+	e.mergeCrashes(state.Crashes, now)
 	if useServers && state.ServersComplete && e.acceptServers(state.ServersRowVersion) {
 		e.mergeServers(state.Servers, now)
 	}
--- a/internal/exchange/state.go
+++ b/internal/exchange/state.go
@@ -17,10 +17,14 @@
 	now := time.Now()
 	e.PutPeer(query.From)
 	e.mergeCounts(query.From.Incarnation, query.Counts)
+	e.mergeCrashes(query.Crashes, now)
 	state := api.GatewayState{
 		Incarnation: e.Identity.Incarnation, ConfigurationVersion: e.Configurations.Version(), OperatorRowVersion: e.OperatorFollower.NewestRow(),
 		ServersRowVersion: e.ServersFollower.NewestRow(),
 	}
+	if query.CrashDigest != e.Crashes.Digest() {
+		state.Crashes = encodeCrashes(e.Crashes.Crashes(time.Time{}), now)
+	}
 	if !query.Brief {
 		state.Counts = e.answerCounts()
 	}
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -62,6 +62,7 @@
 	CodeNoBackendServer         Code = "no_backend_server"
 	CodeBackendServerFailed     Code = "backend_server_failed"
 	CodeStreamCut               Code = "stream_cut"
+	CodePromptHeld              Code = "prompt_held"
 	CodeCallerGone              Code = "caller_gone"
 	CodeIdempotencyKeyRequired  Code = "idempotency_key_required"
 	CodeIdempotencyKeyReused    Code = "idempotency_key_reused"
--- /dev/null
+++ b/internal/gateway/crash.go
@@ -0,0 +1,44 @@
+package gateway
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/cicadawall/cicadawall/internal/backend"
+	"github.com/cicadawall/cicadawall/internal/crashguard"
+)
+
+const (
+	// maxCrashesPerRequest is the number of servers that may end while they begin to answer one request. A second one tells a fault of
+	// the first server from one of the request.
+	maxCrashesPerRequest = 2
+	heldMessage          = "backend servers crash when they answer prompts like this one"
+)
+
+// errPromptHeld is the cause with which an attempt is cancelled when its prompt becomes held.
+var errPromptHeld = errors.New("prompt is held because backend servers crash when they answer it")
+
+// isHeld reports whether the request must not be sent to a server because it would probably crash it.
+func (r *requestJob) isHeld(now time.Time) bool {
+	r.hold = r.gateway.Crashes.Check(r.service.Name, r.request.Prompt, r.hold.Trial, now)
+	return r.hold.Held
+}
+
+// watchForCrash watches the current attempt until its first event.
+func (r *requestJob) watchForCrash(server *backend.Attempt, cancel context.CancelCauseFunc) *crashguard.Attempt {
+	process := server.Entry.ID + "@" + strconv.FormatInt(server.Entry.StartedUnixMillis, 10)
+	return r.gateway.Crashes.Begin(r.service.Name, process, r.request.ID, r.request.Prompt, r.hold.Trial, func() { cancel(errPromptHeld) })
+}
+
+// recordCrash records that the server ended after it had begun an answer and before the first event. A request that was answered
+// before is harmless.
+func (r *requestJob) recordCrash() {
+	if r.lastEventID != "" {
+		return
+	}
+	r.crashes++
+	r.watched.Crashed(time.Now())
+}
--- a/internal/gateway/finish.go
+++ b/internal/gateway/finish.go
@@ -42,6 +42,12 @@
 
 // finalRefusal returns the error for a request that got no answer. It states whether a server may have run the request.
 func (r *requestJob) finalRefusal() *fault.Error {
+	switch {
+	case r.hold.Held && r.mayHaveRun:
+		return fault.Unknown(fault.StepChoose, fault.CodePromptHeld, heldMessage)
+	case r.hold.Held:
+		return fault.NotRun(fault.StepChoose, fault.CodePromptHeld, heldMessage).WithRetryAfter(r.hold.RetryAfter)
+	}
 	deadlinePassed := r.ctx.Err() != nil
 	switch {
 	case r.mayHaveRun && deadlinePassed:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -10,6 +10,7 @@
 
 	"github.com/cicadawall/cicadawall/internal/admission"
 	"github.com/cicadawall/cicadawall/internal/backend"
+	"github.com/cicadawall/cicadawall/internal/crashguard"
 	"github.com/cicadawall/cicadawall/internal/fault"
 	"github.com/cicadawall/cicadawall/internal/migration"
 	"github.com/cicadawall/cicadawall/internal/retry"
@@ -43,6 +44,7 @@
 	Directory        *backend.Directory
 	Backends         Backends
 	Versions         VersionSelector
+	Crashes          *crashguard.Table
 	RetryBudget      *retry.SharedBudget
 	InstanceCount    func() int
 	Metrics          *Metrics
@@ -116,6 +118,9 @@
 	job.priority = priority
 	job.service = configuration.Service(pickService(route.Services, job.rng))
 	job.deadline = requestDeadline(route, request)
+	if job.isHeld(request.Arrived) {
+		return job, job.finalRefusal()
+	}
 	return job, nil
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/cicadawall/cicadawall/internal/api"
 	"github.com/cicadawall/cicadawall/internal/backend"
+	"github.com/cicadawall/cicadawall/internal/crashguard"
 	"github.com/cicadawall/cicadawall/internal/fault"
 	"github.com/cicadawall/cicadawall/internal/migration"
 	"github.com/cicadawall/cicadawall/internal/retry"
@@ -164,6 +165,7 @@
 	}
 	return New(Options{
 		AvailabilityZone: "z", Configurations: configurations, Directory: directory, Backends: backends, Versions: noPreference{},
+		Crashes: crashguard.NewTable(crashguard.Options{MayTry: func(string) bool { return true }, Log: log}),
 		RetryBudget: retry.NewSharedBudget(retry.SharedBudgetOptions{
 			Ratio: 0.9, Slack: 20, Window: 10 * time.Second, Instances: func() int { return 1 },
 		}),
--- a/internal/gateway/models.go
+++ b/internal/gateway/models.go
@@ -188,6 +188,10 @@
 	if !r.request.AnyModel || len(models) == 0 || r.model == models[len(models)-1] {
 		return false
 	}
+	if r.hold.Trial {
+		// A discarded answer does not show whether the server survives it, and a second server would be at risk.
+		return false
+	}
 	now := time.Now()
 	largest := models[len(models)-1]
 	expectedDelay := r.gateway.models.expectedDelay(r.service, largest, now)
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -11,6 +11,7 @@
 
 	"github.com/cicadawall/cicadawall/internal/admission"
 	"github.com/cicadawall/cicadawall/internal/backend"
+	"github.com/cicadawall/cicadawall/internal/crashguard"
 	"github.com/cicadawall/cicadawall/internal/fault"
 	"github.com/cicadawall/cicadawall/internal/migration"
 	"github.com/cicadawall/cicadawall/internal/routing"
@@ -65,6 +66,12 @@
 	serverFailureBody []byte
 	// newConnection makes the next attempt open a new connection because a reused one had been closed by the server.
 	newConnection bool
+	// crashes counts the attempts whose server may have ended because it began to answer the request.
+	crashes int
+	// hold says whether the request may be sent to a server, as of the last check.
+	hold crashguard.Verdict
+	// watched is the current attempt as it is watched for crashes.
+	watched *crashguard.Attempt
 	// retryBudgetSpent is set if the retry budget has already been charged for the next attempt.
 	retryBudgetSpent bool
 
@@ -125,11 +132,13 @@
 	ctx, cancel := context.WithCancelCause(r.ctx)
 	defer cancel(nil)
 	stopTimer := r.startAttemptTimer(cancel)
+	r.watched = r.watchForCrash(server, cancel)
+	defer r.watched.End()
 	r.attemptStart, r.answerStart = time.Now(), time.Time{}
 	reply, err := r.gateway.Backends.Send(ctx, r.newAttempt(server))
 	if err != nil {
 		stopTimer()
-		return r.handleSendError(server, err)
+		return r.handleSendError(ctx, server, err)
 	}
 	defer reply.Body.Close()
 	switch reply.Verdict {
@@ -144,7 +153,7 @@
 	r.answerStart = time.Now()
 	if reply.IsEventStream {
 		stopTimer()
-		return r.relayStream(server, reply, cancel)
+		return r.relayStream(ctx, server, reply, cancel)
 	}
 	defer stopTimer()
 	return r.deliverAnswer(server, reply)
@@ -154,7 +163,7 @@
 // eligible.
 func (r *requestJob) startAttempt() (*backend.Attempt, bool) {
 	now := time.Now()
-	if r.sentAttempts+r.unsentAttempts > 0 && !r.mayRetry(now) {
+	if r.isHeld(now) || r.sentAttempts+r.unsentAttempts > 0 && !r.mayRetry(now) {
 		r.finishUnanswered()
 		return nil, false
 	}
@@ -229,7 +238,7 @@
 	if r.ctx.Err() != nil || r.sentAttempts >= maxSentAttempts || r.unsentAttempts >= maxUnsentAttempts {
 		return false
 	}
-	if r.executions >= max(1, r.route.MaxAttempts) {
+	if r.executions >= max(1, r.route.MaxAttempts) || r.crashes >= maxCrashesPerRequest {
 		return false
 	}
 	if !r.deadline.IsZero() && r.deadline.Sub(now) < minAttemptTime {
@@ -263,7 +272,7 @@
 var errStopping = errors.New("the instance is shutting down")
 
 // handleSendError records an attempt without an answer and reports whether another attempt may follow.
-func (r *requestJob) handleSendError(server *backend.Attempt, err error) bool {
+func (r *requestJob) handleSendError(ctx context.Context, server *backend.Attempt, err error) bool {
 	sent, staleConnection := true, false
 	var failed *SendError
 	if errors.As(err, &failed) {
@@ -271,7 +280,7 @@
 	}
 	// A server closes idle connections, so a reused connection that fails at once is no evidence against the server.
 	staleConnection = staleConnection && time.Since(r.attemptStart) < staleConnectionTimeout
-	requestEnded := r.ctx.Err() != nil
+	requestEnded := r.requestEnded(ctx)
 	result := backend.ResultFailure
 	switch {
 	case requestEnded || staleConnection:
@@ -300,6 +309,11 @@
 	return r.retryOrFinish(!sent)
 }
 
+// requestEnded reports whether an attempt failed because its request ended or is held, which says nothing about the server.
+func (r *requestJob) requestEnded(attempt context.Context) bool {
+	return r.ctx.Err() != nil || errors.Is(context.Cause(attempt), errPromptHeld)
+}
+
 // handleRefusal records an answer that says that the request was not run, and reports whether another attempt may follow.
 func (r *requestJob) handleRefusal(server *backend.Attempt, reply *Reply) bool {
 	result := backend.ResultFailure
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -22,7 +22,9 @@
 var errGapTimeout = errors.New("pause between events is too long")
 
 // relayStream forwards the events of a stream as they arrive and reports whether the stream should resume at another server.
-func (r *requestJob) relayStream(server *backend.Attempt, reply *Reply, cancel context.CancelCauseFunc) bool {
+func (r *requestJob) relayStream(
+	ctx context.Context, server *backend.Attempt, reply *Reply, cancel context.CancelCauseFunc,
+) bool {
 	r.executions++
 	firstAt := time.Now()
 	server.RecordPrefill(firstAt)
@@ -36,6 +38,7 @@
 	r.recordAnswerWork(firstAt)
 	timer := r.startGapTimer(cancel)
 	defer timer.stop()
+	answered := false
 	for delivered := 1; ; delivered++ {
 		event, err := reply.Body.Next()
 		if err == io.EOF && r.headSent {
@@ -44,11 +47,18 @@
 			return false
 		}
 		if err != nil {
-			return r.handleBrokenStream(server, delivered-1, err)
+			if !answered && ctx.Err() == nil {
+				r.recordCrash()
+			}
+			return r.handleBrokenStream(ctx, server, delivered-1, err)
 		}
 		if event.LastID != "" {
 			// Bytes without an event, such as comments, are no progress.
 			timer.reset()
+			if !answered {
+				answered = true
+				r.watched.Answered(time.Now())
+			}
 		}
 		if err := r.relayEvent(reply, event, firstAt); err != nil {
 			server.End(backend.ResultNeutral, time.Now())
@@ -91,8 +101,8 @@
 }
 
 // handleBrokenStream records a stream that was cut off after some deliveries and reports whether it should resume at another server.
-func (r *requestJob) handleBrokenStream(server *backend.Attempt, delivered int, err error) bool {
-	requestEnded := r.ctx.Err() != nil
+func (r *requestJob) handleBrokenStream(ctx context.Context, server *backend.Attempt, delivered int, err error) bool {
+	requestEnded := r.requestEnded(ctx)
 	result := backend.ResultFailure
 	if requestEnded {
 		result = backend.ResultNeutral
--- a/internal/lockorder/order.go
+++ b/internal/lockorder/order.go
@@ -14,6 +14,7 @@
 	RankBackendServers Rank = 30
 	RankPrefixIndex    Rank = 35
 	RankVersions       Rank = 40
+	RankCrashes        Rank = 45
 	RankSessionPins    Rank = 50
 	RankOrders         Rank = 60
 	RankLimits         Rank = 70
