--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -343,3 +343,17 @@
 		t.Errorf("version %d", table.Version())
 	}
 }
+
+// Guards against a refusal that a server repeats on a kept connection when the same request returns to it: the copy names the request, and
+// would say "not run" of an attempt that runs.
+func TestRefusedRequestReturnsOnNewConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		backends := &scriptedBackends{actions: []serverAction{{verdict: VerdictNotRun}, {body: "x"}}}
+		g := newGateway(1, backends, slog.New(slog.NewJSONHandler(io.Discard, nil)))
+		defer g.Stop()
+		g.Serve(t.Context(), &Request{ID: "r", Host: "h", Path: "/buy/x", Key: "key", Arrived: time.Now()}, &recordingCaller{})
+		if len(backends.attempts) != 2 || backends.attempts[0].NewConnection || !backends.attempts[1].NewConnection {
+			t.Errorf("attempts: %+v", backends.attempts)
+		}
+	})
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -59,6 +59,8 @@
 	executions     int
 	unsentAttempts int
 	triedServers   []string
+	// refusedBy are the servers that refused the request without running it.
+	refusedBy []string
 	// mayHaveRun is set once a server may have run the request although no complete answer arrived.
 	mayHaveRun bool
 	// serverFailure is the last failure that a server returned, serverFailureBody its body.
@@ -257,14 +259,15 @@
 		remaining = max(time.Millisecond, time.Until(r.deadline))
 	}
 	return Attempt{
-		Request:       r.request,
-		Server:        server.Entry,
-		Organisation:  r.organisation,
-		Model:         r.model,
-		Remaining:     remaining,
-		Urgency:       min(maxPriority, r.priority),
-		LastEventID:   r.lastEventID,
-		NewConnection: r.newConnection,
+		Request:      r.request,
+		Server:       server.Entry,
+		Organisation: r.organisation,
+		Model:        r.model,
+		Remaining:    remaining,
+		Urgency:      min(maxPriority, r.priority),
+		LastEventID:  r.lastEventID,
+		// A server may repeat its refusal on the connection that carried it.
+		NewConnection: r.newConnection || slices.Contains(r.refusedBy, server.Entry.ID),
 	}
 }
 
@@ -316,6 +319,7 @@
 
 // handleRefusal records an answer that says that the request was not run, and reports whether another attempt may follow.
 func (r *requestJob) handleRefusal(server *backend.Attempt, reply *Reply) bool {
+	r.refusedBy = append(r.refusedBy, server.Entry.ID)
 	result := backend.ResultFailure
 	if reply.Verdict == VerdictMisdirected {
 		result = backend.ResultMisdirected
