--- a/internal/app/peers.go
+++ b/internal/app/peers.go
@@ -51,6 +51,9 @@
 		Timeout:  settings.Millis(i.settings.Platform.TimeoutMillis),
 		Instance: i.settings.Instance.Name,
 		Traffic:  i.trafficCounter("platform"),
+		InvalidEntry: func(entry []byte, err error) {
+			i.log.Warn("invalid entry of the instance list ignored", "bytes", len(entry), "error", err.Error())
+		},
 	})
 	if err != nil {
 		return errors.Wrap(err, "build the platform client")
--- a/internal/platform/httpclient/client.go
+++ b/internal/platform/httpclient/client.go
@@ -39,6 +39,8 @@
 	MaxConns int
 	// Traffic, if set, is called with the numbers of bytes written and read.
 	Traffic func(written, read int)
+	// InvalidEntry, if set, is called with each entry of the instance list that cannot be used, and why.
+	InvalidEntry func(entry []byte, err error)
 }
 
 // Client calls the platform's services.
@@ -71,7 +73,7 @@
 		timeout:  options.Timeout,
 		sender:   httpsend.New(httpsend.Options{MaxConnsPerHost: options.MaxConns, OnTraffic: options.Traffic}),
 	}
-	client.list = newInstanceList(client)
+	client.list = newInstanceList(client, options.InvalidEntry)
 	return client, nil
 }
 
--- a/internal/platform/httpclient/list_test.go
+++ b/internal/platform/httpclient/list_test.go
@@ -55,3 +55,27 @@
 	addEntries(500, 501)
 	bytesOfList(501)
 }
+
+// Guards against an odd entry of another writer that stops the whole list from being followed.
+func TestOddEntryStopsNothing(t *testing.T) {
+	const good = `{"id":"a","kind":"engine","ip":"127.0.0.1","port":1,"availabilityZone":"z","state":"live"}`
+	for _, odd := range []string{
+		`{"id":"b","port":70000}`, `{"id":"b","port":1e400}`, `{"id":"b","port":"x"}`, `{"id":7,"port":1}`, `[]`, `null`,
+		`{"id":"b","port":1,"versions":` + strings.Repeat("[", 5000) + strings.Repeat("]", 5000) + `}`,
+	} {
+		listener := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = fmt.Fprintf(w, `{"entries":[%s,%s]}`, odd, good)
+		}))
+		invalid := 0
+		client, err := New(Options{BaseURL: listener.URL, InvalidEntry: func([]byte, error) { invalid++ }})
+		if err != nil {
+			t.Fatal(err)
+		}
+		entries, err := client.Services().Instances.List(t.Context())
+		if err != nil || len(entries) != 1 || entries[0].Id != "a" || invalid != 1 {
+			t.Errorf("%.40s: %+v, %v, %d reported as invalid", odd, entries, err, invalid)
+		}
+		client.Close()
+		listener.Close()
+	}
+}
