Keep away from servers that leave or ask for quiet, as their answers say

Leaving holds for the process (identifier, address, start), survives rows that lag or come again, and is told to peers with the rounds that exist, for 3 s and 64 servers at the most. If all servers ask for quiet, callers are refused at once with the time until the first of them is back. Headers in another form are logged once for a server and change nothing.

Evidence on crashes: a process that crashed counts again after 2 s, one server alone accuses no part, and crashes in quick succession no longer drive out those that count as separate (found by the new test with processes).

The stand-in of model servers plays all three.

--- a/internal/api/peer.gen.go
+++ b/internal/api/peer.gen.go
@@ -236,6 +236,16 @@
 	PeerAddress string  `json:"peerAddress" yaml:"peerAddress"`
 }
 
+// GatewayLeaving Process of a backend server that said in an answer that it leaves.
+type GatewayLeaving struct {
+	Address string `json:"address" yaml:"address"`
+
+	// AgeMillis Time since the answer in milliseconds.
+	AgeMillis        int64  `json:"ageMillis" yaml:"ageMillis"`
+	Id               string `json:"id" yaml:"id"`
+	StartedUnixMilli int64  `json:"startedUnixMilli,omitempty" yaml:"startedUnixMilli,omitempty"`
+}
+
 // GatewayMigration Migration of a service to a target version as the sender knows it.
 type GatewayMigration struct {
 	// AgeMillis Time since the migration was ordered in milliseconds.
@@ -286,6 +296,9 @@
 
 	// Full Whether the lists of instances and backend servers are requested.
 	Full bool `json:"full,omitempty" yaml:"full,omitempty"`
+
+	// Leaving Backend servers that said recently that they leave.
+	Leaving []GatewayLeaving `json:"leaving,omitempty" yaml:"leaving,omitempty"`
 }
 
 // GatewayRow defines model for GatewayRow.
@@ -341,7 +354,10 @@
 	Incarnation string         `json:"incarnation" yaml:"incarnation"`
 
 	// Instances Known instances, if requested.
-	Instances  []GatewayInstance  `json:"instances,omitempty" yaml:"instances,omitempty"`
+	Instances []GatewayInstance `json:"instances,omitempty" yaml:"instances,omitempty"`
+
+	// Leaving Backend servers that said recently that they leave.
+	Leaving    []GatewayLeaving   `json:"leaving,omitempty" yaml:"leaving,omitempty"`
 	Migrations []GatewayMigration `json:"migrations,omitempty" yaml:"migrations,omitempty"`
 
 	// OperatorRowVersion Highest row version of the operator's table that the sender has read.
--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -48,6 +48,11 @@
 	removeAt time.Time
 	// addressReused is set once another server has answered at the address.
 	addressReused bool
+	// quietUntil is when the server wants requests again; suspendedBefore is how long this machine had been suspended when it said so.
+	quietUntil      time.Time
+	suspendedBefore time.Duration
+	// invalidSignal is set once the server has sent a signal that could not be understood.
+	invalidSignal bool
 	inFlight      int
 	pendingTokens int
 	health        health
@@ -59,12 +64,15 @@
 	mu            *lockorder.Mutex
 	rows          map[string]*row
 	rowsByService map[string][]*row
-	loaded        bool
+	// leaving holds the processes that said in an answer that they leave, and since when this is known.
+	leaving map[Process]time.Time
+	loaded  bool
 }
 
 // NewDirectory returns an empty table.
 func NewDirectory() *Directory {
-	return &Directory{mu: lockorder.New(lockorder.RankBackendServers), rows: map[string]*row{}, rowsByService: map[string][]*row{}}
+	return &Directory{mu: lockorder.New(lockorder.RankBackendServers), rows: map[string]*row{}, rowsByService: map[string][]*row{},
+		leaving: map[Process]time.Time{}}
 }
 
 // Loaded reports whether a list of servers was read since this instance started.
@@ -187,7 +195,10 @@
 	defer d.mu.Unlock()
 	entries := make([]Entry, 0, len(d.rows))
 	for _, r := range d.rows {
-		entries = append(entries, r.entry)
+		entry := r.entry
+		_, leaving := d.leaving[entry.process()]
+		entry.Leaving = entry.Leaving || leaving
+		entries = append(entries, entry)
 	}
 	return entries
 }
@@ -212,7 +223,10 @@
 		if !r.removeAt.IsZero() && !now.Before(r.removeAt) {
 			continue
 		}
-		candidates = append(candidates, r.candidate(q, now))
+		candidate := r.candidate(q, now)
+		_, leaving := d.leaving[r.entry.process()]
+		candidate.Leaving = candidate.Leaving || leaving
+		candidates = append(candidates, candidate)
 	}
 	return candidates
 }
@@ -222,6 +236,7 @@
 		ID:            r.entry.ID,
 		Zone:          r.entry.AvailabilityZone,
 		Leaving:       r.entry.Leaving || r.addressReused,
+		QuietUntil:    r.quietEnd(now),
 		EjectedUntil:  r.health.ejectedUntil,
 		InFlight:      r.inFlight,
 		Software:      r.entry.Software,
--- /dev/null
+++ b/internal/backend/signals.go
@@ -0,0 +1,101 @@
+package backend
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cicadawall/cicadawall/internal/suspend"
+)
+
+const (
+	// recentLeavingTime is how long the word of a server that it leaves is passed on to peers: in six rounds it reaches several hundred
+	// instances.
+	recentLeavingTime = 3 * time.Second
+	// maxRecentLeaving bounds the servers that are passed on at once.
+	maxRecentLeaving = 64
+	// leavingRetention is how long a leaving process is remembered after its row was removed, because its entry may return.
+	leavingRetention = 10 * time.Minute
+	// maxQuietTime bounds the time for which a server may ask to get no requests, so that a wrong number does not remove it for good.
+	maxQuietTime = 10 * time.Minute
+)
+
+// Process identifies a server process.
+type Process struct {
+	ID                string
+	Address           string
+	StartedUnixMillis int64
+}
+
+func (e Entry) process() Process {
+	return Process{ID: e.ID, Address: e.Address, StartedUnixMillis: e.StartedUnixMillis}
+}
+
+// LeavingProcess is a server process that has said in an answer that it leaves.
+type LeavingProcess struct {
+	Process
+	Since time.Time
+}
+
+// MarkLeaving records that the server said that it leaves. Its entry in the store, which lags, does not undo it. It reports whether this was
+// unknown.
+func (a *Attempt) MarkLeaving(now time.Time) bool {
+	return a.directory.MarkLeaving([]LeavingProcess{{Process: a.Entry.process(), Since: now}}, now)
+}
+
+// MarkLeaving records processes that leave and reports whether one of them was unknown.
+func (d *Directory) MarkLeaving(processes []LeavingProcess, now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for process, since := range d.leaving {
+		if now.Sub(since) > leavingRetention {
+			delete(d.leaving, process)
+		}
+	}
+	changed := false
+	for _, process := range processes {
+		if _, known := d.leaving[process.Process]; !known {
+			d.leaving[process.Process] = process.Since
+			changed = true
+		}
+	}
+	return changed
+}
+
+// RecentlyLeaving returns the processes whose leaving is still passed on to peers, the newest first.
+func (d *Directory) RecentlyLeaving(now time.Time) []LeavingProcess {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var recent []LeavingProcess
+	for process, since := range d.leaving {
+		if now.Sub(since) <= recentLeavingTime {
+			recent = append(recent, LeavingProcess{Process: process, Since: since})
+		}
+	}
+	slices.SortFunc(recent, func(a, b LeavingProcess) int { return b.Since.Compare(a.Since) })
+	return recent[:min(len(recent), maxRecentLeaving)]
+}
+
+// MarkQuiet records that the server asked to get no requests for some time.
+func (a *Attempt) MarkQuiet(wait time.Duration, now time.Time) {
+	a.directory.mu.Lock()
+	defer a.directory.mu.Unlock()
+	a.row.quietUntil = now.Add(min(maxQuietTime, wait))
+	a.row.suspendedBefore = suspend.Total()
+}
+
+// quietEnd returns until when the server wants no requests. The time in which this machine was suspended counts.
+func (r *row) quietEnd(now time.Time) time.Time {
+	if !now.Before(r.quietUntil) {
+		return time.Time{}
+	}
+	return r.quietUntil.Add(r.suspendedBefore - suspend.Total())
+}
+
+// FirstInvalidSignal reports whether the server had sent no invalid signal before.
+func (a *Attempt) FirstInvalidSignal() bool {
+	a.directory.mu.Lock()
+	defer a.directory.mu.Unlock()
+	first := !a.row.invalidSignal
+	a.row.invalidSignal = true
+	return first
+}
--- /dev/null
+++ b/internal/backend/signals_test.go
@@ -0,0 +1,88 @@
+package backend
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// begin starts an attempt at a server.
+func begin(t *testing.T, d *Directory, id string) *Attempt {
+	t.Helper()
+	attempt, ok := d.Begin(id, Query{Service: "desk"}, now)
+	if !ok {
+		t.Fatalf("server %s is not in the table", id)
+	}
+	return attempt
+}
+
+// Guards against requests to a server that said that it leaves, because a row that lags says otherwise or was written again, and
+// against a new process that is avoided because it has the identifier or the address of one that left.
+func TestLeavingHoldsForTheProcess(t *testing.T) {
+	d := NewDirectory()
+	d.Replace([]Entry{entry("a"), entry("b")}, 0, now)
+	if !begin(t, d, "a").MarkLeaving(now) || begin(t, d, "a").MarkLeaving(now) {
+		t.Error("the first word of a server is not told from the second")
+	}
+	for name, change := range map[string]func(){
+		"row says live":      func() { d.Put(entry("a"), now) },
+		"complete list":      func() { d.Replace([]Entry{entry("a"), entry("b")}, 0, now) },
+		"row written again":  func() { d.Remove("a", 0, now); d.Put(entry("a"), now) },
+		"list without it":    func() { d.Replace([]Entry{entry("b")}, 0, now); d.Put(entry("a"), now) },
+		"list of a peer":     func() { d.MergePeerList([]Entry{entry("a"), entry("b")}, now) },
+		"another one leaves": func() { d.MarkLeaving(nil, now.Add(time.Minute)) },
+	} {
+		change()
+		if diff := cmp.Diff([]string{"b"}, availableIDs(d, now)); diff != "" {
+			t.Errorf("%s: %s", name, diff)
+		}
+	}
+	restarted := entry("a")
+	restarted.StartedUnixMillis = 2
+	d.Put(restarted, now)
+	if diff := cmp.Diff([]string{"a", "b"}, availableIDs(d, now)); diff != "" {
+		t.Errorf("after a restart: %s", diff)
+	}
+}
+
+// Guards against a word that is passed on to peers without end, or not at all.
+func TestLeavingIsPassedOnBriefly(t *testing.T) {
+	d := NewDirectory()
+	d.Replace([]Entry{entry("a")}, 0, now)
+	begin(t, d, "a").MarkLeaving(now)
+	if len(d.RecentlyLeaving(now.Add(time.Second))) != 1 || len(d.RecentlyLeaving(now.Add(2*recentLeavingTime))) != 0 {
+		t.Errorf("passed on: %+v", d.RecentlyLeaving(now))
+	}
+	for n := range 2 * maxRecentLeaving {
+		d.MarkLeaving([]LeavingProcess{{Process: Process{ID: string(rune('A' + n))}, Since: now}}, now)
+	}
+	if got := len(d.RecentlyLeaving(now)); got > maxRecentLeaving {
+		t.Errorf("%d servers are passed on", got)
+	}
+}
+
+// Guards against requests within the time that a server asked for, a wait without end, and a worse record of a server that asks.
+func TestQuietTimeOfServer(t *testing.T) {
+	d := NewDirectory()
+	d.Replace([]Entry{entry("a")}, 0, now)
+	attempt := begin(t, d, "a")
+	attempt.MarkQuiet(90*time.Second, now)
+	attempt.End(ResultNeutral, now)
+	quietUntil := func(at time.Time) time.Time { return d.Candidates(Query{Service: "desk"}, at)[0].QuietUntil }
+	// The time of suspension is the difference of two clocks that are read one after the other.
+	const clockError = time.Millisecond
+	if got := quietUntil(now.Add(89 * time.Second)).Sub(now); got < 89*time.Second || got > 90*time.Second+clockError {
+		t.Errorf("quiet for %s", got)
+	}
+	if at := now.Add(90 * time.Second); quietUntil(at).After(at) {
+		t.Error("quiet after the time")
+	}
+	attempt.MarkQuiet(1000*time.Hour, now)
+	if got := quietUntil(now).Sub(now); got > maxQuietTime+clockError {
+		t.Errorf("quiet for %s", got)
+	}
+	if c := d.Candidates(Query{Service: "desk"}, now)[0]; c.FailureRate != 0 || c.EjectedUntil.After(now) {
+		t.Errorf("record of the server: %+v", c)
+	}
+}
--- a/internal/crashguard/hold.go
+++ b/internal/crashguard/hold.go
@@ -5,6 +5,7 @@
 package crashguard
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -12,10 +13,15 @@
 const (
 	// minCrashes is the number of separate crashes after which requests are held.
 	minCrashes = 3
-	// minRequests is the number of different requests among them: after a single one, its own content may be the cause.
+	// minRequests and minServers are the numbers of different requests and server processes among them: a single request may crash servers by
+	// its own content, and a single server may be faulty.
 	minRequests = 2
+	minServers  = 2
 	// minCrashSpacing is the time by which separate crashes are apart. Servers that end at the same moment have another cause.
 	minCrashSpacing = 200 * time.Millisecond
+	// minRestartTime is the time in which crashes of the same process count once. It takes longer to start again, but several requests
+	// that it worked on may be reported at different times by instances that are slow.
+	minRestartTime = 2 * time.Second
 	// minHoldTime is how long requests are held after the last of minCrashes crashes. It doubles with each further crash, up to
 	// maxHoldTime, because a trial costs another server if the part is still harmful.
 	minHoldTime = 20 * time.Second
@@ -52,7 +58,9 @@
 func holds(service string, crashes []Crash) []Hold {
 	var found []Hold
 	remaining := slices.Clone(crashes)
-	slices.SortFunc(remaining, func(a, b Crash) int { return a.At.Compare(b.At) })
+	slices.SortFunc(remaining, func(a, b Crash) int {
+		return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.Server, b.Server), cmp.Compare(a.Request, b.Request))
+	})
 	for {
 		part, separate := mostCrashes(remaining)
 		if separate < minCrashes {
@@ -99,22 +107,23 @@
 	return with
 }
 
-// separateCrashes counts the crashes of different servers that are minCrashSpacing apart; the crashes are ordered by time. It returns zero
-// if they come from fewer than minRequests requests.
+// separateCrashes counts the crashes that are minCrashSpacing apart, and minRestartTime if they are of the same process; the crashes are
+// ordered by time. It returns zero if they come from fewer than minRequests requests or minServers processes.
 func separateCrashes(crashes []Crash) int {
-	servers, requests := map[string]bool{}, map[string]bool{}
+	requests, lastOfServer := map[string]bool{}, map[string]time.Time{}
 	count, last := 0, time.Time{}
 	for _, crash := range crashes {
 		requests[crash.Request] = true
-		if servers[crash.Server] {
+		previous, again := lastOfServer[crash.Server]
+		if again && crash.At.Sub(previous) < minRestartTime {
 			continue
 		}
-		servers[crash.Server] = true
 		if count == 0 || crash.At.Sub(last) >= minCrashSpacing {
 			count, last = count+1, crash.At
+			lastOfServer[crash.Server] = crash.At
 		}
 	}
-	if len(requests) < minRequests {
+	if len(requests) < minRequests || len(lastOfServer) < minServers {
 		return 0
 	}
 	return count
--- a/internal/crashguard/hold_test.go
+++ b/internal/crashguard/hold_test.go
@@ -51,13 +51,22 @@
 	}
 }
 
-// Guards against one process of a server that counts twice because several instances reported its end.
+// Guards against one end of a process that counts twice because several instances reported it at different times, against a single faulty
+// server that makes its requests suspect, and against a process that crashes again and counts once.
 func TestServerProcessCountsOnce(t *testing.T) {
 	first, second, third := crashAt(0, "a", "bad"), crashAt(500, "b", "bad"), crashAt(900, "c", "bad")
 	second.Server = first.Server
 	if found := holds("desk", []Crash{first, second, third}); found != nil {
 		t.Errorf("held after two servers: %+v", found)
 	}
+	again, lastAgain := crashAt(5000, "d", "bad"), crashAt(9000, "e", "bad")
+	again.Server, lastAgain.Server = first.Server, first.Server
+	if found := holds("desk", []Crash{first, again, lastAgain}); found != nil {
+		t.Errorf("held after crashes of a single server: %+v", found)
+	}
+	if found := holds("desk", []Crash{first, third, again}); len(found) != 1 {
+		t.Errorf("not held after a process crashed again: %+v", found)
+	}
 }
 
 // Guards against trials that follow each other at the same pace although the part stays harmful, and against an overflow.
--- a/internal/crashguard/table.go
+++ b/internal/crashguard/table.go
@@ -1,7 +1,6 @@
 package crashguard
 
 import (
-	"cmp"
 	"hash/fnv"
 	"log/slog"
 	"maps"
@@ -222,25 +221,15 @@
 	t.logChanges(before, after)
 }
 
-// expire removes old crashes, and the oldest ones if there are too many. Those without parts go first. The caller holds the lock.
+// expire removes old crashes, and some others if there are too many. The caller holds the lock.
 func (t *Table) expire(now time.Time) {
-	var keys []crashKey
 	for key, crash := range t.crashes {
 		if now.Sub(crash.At) > crashRetention {
 			delete(t.crashes, key)
-			continue
 		}
-		keys = append(keys, key)
 	}
-	if len(keys) <= maxCrashes {
-		return
-	}
-	slices.SortFunc(keys, func(a, b crashKey) int {
-		first, second := t.crashes[a], t.crashes[b]
-		return cmp.Or(cmp.Compare(min(1, len(first.Parts)), min(1, len(second.Parts))), first.At.Compare(second.At))
-	})
-	for _, key := range keys[:len(keys)-maxCrashes] {
-		delete(t.crashes, key)
+	for len(t.crashes) > maxCrashes {
+		delete(t.crashes, leastUseful(t.crashes))
 	}
 }
 
--- a/internal/crashguard/table_test.go
+++ b/internal/crashguard/table_test.go
@@ -158,3 +158,23 @@
 		}
 	})
 }
+
+// Guards against crashes in quick succession, as in a fleet of a thousand servers, that drive each other out before three of them are
+// separate, and against the evidence on a rarer part that they drive out.
+func TestManyCrashesKeepSeparateOnes(t *testing.T) {
+	table := newTable(true)
+	for n := range 40 * maxCrashes {
+		crash := crashAt(n, strconv.Itoa(n), "bad")
+		table.Merge([]Crash{crash}, crash.At)
+		if n%500 == 250 {
+			rare := crashAt(n, "rare-"+strconv.Itoa(n), "rare")
+			table.Merge([]Crash{rare}, rare.At)
+		}
+	}
+	now := crashAt(40*maxCrashes, "").At
+	for _, part := range []string{"bad", "rare"} {
+		if !table.Check("desk", promptOf(part), false, now).Held {
+			t.Errorf("part %q is not held", part)
+		}
+	}
+}
--- a/internal/e2e/fleet_world_test.go
+++ b/internal/e2e/fleet_world_test.go
@@ -23,6 +23,13 @@
 	streamEventCount = 12
 	// recoveryTimeout limits the time until requests are served again after the last fault.
 	recoveryTimeout = 12 * time.Second
+	// quietTime is the time for which a server asks to get no requests; it is longer than any test.
+	quietTime = 5 * time.Minute
+	// crashingPart is a part of a prompt that crashes the stand-ins of model servers, which are back after serverRestartTime.
+	crashingPart      = "crashing"
+	serverRestartTime = time.Second
+	// maxCrashesBeforeHold allows all three model servers to crash together for each of the three crashes that count as separate.
+	maxCrashesBeforeHold = 9
 )
 
 // fleetServer is a model server stand-in that instances reach through its own proxy.
@@ -80,6 +87,7 @@
 	f.t.Helper()
 	server := modelserver.New(modelserver.Options{
 		ID: id, EventCount: streamEventCount, Delay: eventInterval, Confidence: map[string]int{"small": 90, "large": 100},
+		QuietTime: quietTime, CrashingPart: crashingPart, RestartTime: serverRestartTime,
 	})
 	httpServer := httptest.NewServer(server)
 	f.t.Cleanup(httpServer.CloseClientConnections)
@@ -170,6 +178,15 @@
 
 // send sends one request to the instance and reads the whole response.
 func (f *fleet) send(i *fleetInstance, method, path, id string) reply {
+	return f.sendWithPrompt(i, method, path, id, "shared:80,"+id+":20")
+}
+
+// sendPrompt sends a request for a stream with the prompt.
+func (f *fleet) sendPrompt(i *fleetInstance, id, prompt string) reply {
+	return f.sendWithPrompt(i, http.MethodPost, "/chat/x", id, prompt)
+}
+
+func (f *fleet) sendWithPrompt(i *fleetInstance, method, path, id, prompt string) reply {
 	request, err := http.NewRequest(method, "http://"+i.callerAddress+path, strings.NewReader("body of "+id))
 	if err != nil {
 		return reply{err: err}
@@ -181,7 +198,7 @@
 	if strings.HasPrefix(path, "/chat/") {
 		request.Header.Set("Cicadawall-Model", "*")
 		request.Header.Set("Cicadawall-Token-Counts", "100,40")
-		request.Header.Set("Cicadawall-Prompt-Prefix", "shared:80,"+id+":20")
+		request.Header.Set("Cicadawall-Prompt-Prefix", prompt)
 	}
 	response, err := i.client.Do(request)
 	if err != nil {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -189,6 +189,7 @@
 	query := api.GatewayQuery{
 		From: e.Identity, Full: storeUnavailable, Discover: e.roundCount%discoverRounds == 0,
 		Crashes: e.recentCrashes(time.Now()), CrashDigest: e.Crashes.Digest(),
+		Leaving: e.leavingServers(time.Now()),
 	}
 	queries := e.planQueries(query)
 	done := make(chan struct{}, len(queries))
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -221,3 +221,22 @@
 		}
 	})
 }
+
+// Guards against instances that each have to learn from a server itself that it leaves.
+func TestLeavingServerIsToldToPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		first, second := n.add("first", false), n.add("second", false, "first")
+		entry := backend.Entry{ID: "s", Service: "desk", Address: "s:80", StartedUnixMillis: 1}
+		for _, node := range []*Exchange{first, second} {
+			node.Directory.Put(entry, time.Now())
+		}
+		attempt, _ := first.Directory.Begin("s", backend.Query{Service: "desk"}, time.Now())
+		attempt.MarkLeaving(time.Now())
+		round(t, second)
+		candidates := second.Directory.Candidates(backend.Query{Service: "desk"}, time.Now())
+		if len(candidates) != 1 || !candidates[0].Leaving {
+			t.Errorf("candidates of the peer: %+v", candidates)
+		}
+	})
+}
--- a/internal/exchange/merge.go
+++ b/internal/exchange/merge.go
@@ -27,6 +27,7 @@
 	}
 	e.mergeCounts(state.Incarnation, state.Counts)
 	e.mergeCrashes(state.Crashes, now)
+	e.mergeLeaving(state.Leaving, now)
 	if useServers && state.ServersComplete && e.acceptServers(state.ServersRowVersion) {
 		e.mergeServers(state.Servers, now)
 	}
--- a/internal/exchange/state.go
+++ b/internal/exchange/state.go
@@ -18,9 +18,10 @@
 	e.PutPeer(query.From)
 	e.mergeCounts(query.From.Incarnation, query.Counts)
 	e.mergeCrashes(query.Crashes, now)
+	e.mergeLeaving(query.Leaving, now)
 	state := api.GatewayState{
 		Incarnation: e.Identity.Incarnation, ConfigurationVersion: e.Configurations.Version(), OperatorRowVersion: e.OperatorFollower.NewestRow(),
-		ServersRowVersion: e.ServersFollower.NewestRow(),
+		ServersRowVersion: e.ServersFollower.NewestRow(), Leaving: e.leavingServers(now),
 	}
 	if query.CrashDigest != e.Crashes.Digest() {
 		state.Crashes = encodeCrashes(e.Crashes.Crashes(time.Time{}), now)
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -42,3 +42,8 @@
 	r.crashes++
 	r.watched.Crashed(time.Now())
 }
+
+// requestEnded reports whether an attempt failed because its request ended or is held, which says nothing about the server.
+func (r *requestJob) requestEnded(attempt context.Context) bool {
+	return r.ctx.Err() != nil || errors.Is(context.Cause(attempt), errPromptHeld)
+}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -42,6 +42,7 @@
 	pause        time.Duration
 	commentsOnly bool
 	body         string
+	signals      serverSignals
 }
 
 // scriptedBackends performs the actions in order, whichever server an attempt is sent to, and records the attempts.
@@ -64,7 +65,10 @@
 	if a.err != nil {
 		return nil, a.err
 	}
-	return &Reply{Verdict: a.verdict, Confidence: a.confidence, IsEventStream: a.events != nil, Body: &scriptedBody{ctx: ctx, action: a}}, nil
+	return &Reply{
+		Verdict: a.verdict, Confidence: a.confidence, IsEventStream: a.events != nil, Body: &scriptedBody{ctx: ctx, action: a},
+		ServerLeaving: a.signals.leaving, QuietTime: a.signals.quiet,
+	}, nil
 }
 
 // scriptedBody is the body of a scripted answer.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -68,6 +68,8 @@
 	serverFailureBody []byte
 	// newConnection makes the next attempt open a new connection because a reused one had been closed by the server.
 	newConnection bool
+	// quietTime is the time until the first server wants requests again, if no server was eligible because all asked for quiet.
+	quietTime time.Duration
 	// crashes counts the attempts whose server may have ended because it began to answer the request.
 	crashes int
 	// hold says whether the request may be sent to a server, as of the last check.
@@ -143,6 +145,7 @@
 		return r.handleSendError(ctx, server, err)
 	}
 	defer reply.Body.Close()
+	r.recordSignals(server, reply)
 	switch reply.Verdict {
 	case VerdictNotRun, VerdictMisdirected:
 		stopTimer()
@@ -174,6 +177,7 @@
 	preference := r.gateway.Versions.Choose(r.service.Name, r.request.sessionID(), len(r.request.Prompt) == 0, now)
 	choice := r.chooseServer(candidates, preference, now)
 	if !choice.Found {
+		r.quietTime = routing.QuietTime(candidates, now)
 		r.finishUnanswered()
 		return nil, false
 	}
@@ -312,17 +316,16 @@
 	return r.retryOrFinish(!sent)
 }
 
-// requestEnded reports whether an attempt failed because its request ended or is held, which says nothing about the server.
-func (r *requestJob) requestEnded(attempt context.Context) bool {
-	return r.ctx.Err() != nil || errors.Is(context.Cause(attempt), errPromptHeld)
-}
-
 // handleRefusal records an answer that says that the request was not run, and reports whether another attempt may follow.
 func (r *requestJob) handleRefusal(server *backend.Attempt, reply *Reply) bool {
 	r.refusedBy = append(r.refusedBy, server.Entry.ID)
 	result := backend.ResultFailure
-	if reply.Verdict == VerdictMisdirected {
+	switch {
+	case reply.Verdict == VerdictMisdirected:
 		result = backend.ResultMisdirected
+	case reply.QuietTime > 0 || reply.ServerLeaving:
+		// A server that leaves or asks for quiet is not faulty.
+		result = backend.ResultNeutral
 	}
 	server.End(result, time.Now())
 	r.log("backend server refused the attempt without running it", "server", server.Entry.ID, "moved", reply.Verdict == VerdictMisdirected)
--- a/internal/migration/evidence.go
+++ b/internal/migration/evidence.go
@@ -138,7 +138,9 @@
 func (d *slowdown) significant() bool { return d.exceeds(slowLogShift, slowStandardScore) }
 
 // significantUnderLightLoad reports whether answers on lightly loaded servers take longer than they should, and not by chance.
-func (d *slowdown) significantUnderLightLoad() bool { return d.exceeds(lightLoadLogShift, slowStandardScore) }
+func (d *slowdown) significantUnderLightLoad() bool {
+	return d.exceeds(lightLoadLogShift, slowStandardScore)
+}
 
 // uncertain reports whether the answers may take longer, but the factor is too small or not yet significant.
 func (d *slowdown) uncertain() bool { return d.exceeds(uncertainLogShift, uncertainStandardScore) }
--- a/internal/routing/gateway.go
+++ b/internal/routing/gateway.go
@@ -38,6 +38,35 @@
 	return ReasonNone
 }
 
+// QuietFilter drops servers that asked to get no requests for some time.
+type QuietFilter struct{}
+
+// DropReason implements Filter.
+func (QuietFilter) DropReason(c *Candidate, _ *Request, now time.Time) Reason {
+	if now.Before(c.QuietUntil) {
+		return ReasonQuiet
+	}
+	return ReasonNone
+}
+
+// QuietTime returns the time until the first of the candidates wants requests again; zero if one wants them now or there are none.
+func QuietTime(candidates []Candidate, now time.Time) time.Duration {
+	shortest := time.Duration(0)
+	for i := range candidates {
+		if candidates[i].Leaving {
+			continue
+		}
+		wait := candidates[i].QuietUntil.Sub(now)
+		if wait <= 0 {
+			return 0
+		}
+		if shortest == 0 || wait < shortest {
+			shortest = wait
+		}
+	}
+	return shortest
+}
+
 // InFlightLimitFilter drops servers at which this instance already uses its share of the connections.
 type InFlightLimitFilter struct{}
 
@@ -117,7 +146,7 @@
 // PromptPolicy chooses a server for a request with a prompt.
 func PromptPolicy() Policy {
 	return Policy{
-		Filters: []Filter{SoftwareVersionFilter{}, LeavingFilter{}, EjectedFilter{}, TriedFilter{}, InFlightLimitFilter{}},
+		Filters: []Filter{SoftwareVersionFilter{}, LeavingFilter{}, QuietFilter{}, EjectedFilter{}, TriedFilter{}, InFlightLimitFilter{}},
 		Scorers: []Scorer{PrefillScorer{}, PartitionScorer{}, FailureScorer{}, ZoneScorer{}},
 		Picker:  LowestScore{},
 	}
@@ -126,7 +155,7 @@
 // PlainPolicy chooses a server for a request without a prompt.
 func PlainPolicy() Policy {
 	return Policy{
-		Filters: []Filter{SoftwareVersionFilter{}, LeavingFilter{}, EjectedFilter{}, TriedFilter{}, InFlightLimitFilter{}},
+		Filters: []Filter{SoftwareVersionFilter{}, LeavingFilter{}, QuietFilter{}, EjectedFilter{}, TriedFilter{}, InFlightLimitFilter{}},
 		Scorers: []Scorer{ResponseTimeScorer{}, FailureScorer{}, ZoneScorer{}},
 		Picker:  LowestScore{},
 	}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -21,10 +21,12 @@
 
 // Candidate is one backend server as this instance sees it.
 type Candidate struct {
-	ID           string
-	Zone         string
-	Versions     []declaration.VersionID
-	Leaving      bool
+	ID       string
+	Zone     string
+	Versions []declaration.VersionID
+	Leaving  bool
+	// QuietUntil is the time until which the server asked to get no requests.
+	QuietUntil   time.Time
 	EjectedUntil time.Time
 	// InFlight is the exact number of this instance's requests on the server.
 	InFlight int
@@ -117,6 +119,7 @@
 	ReasonNone      Reason = ""
 	ReasonNotLoaded Reason = "version not loaded"
 	ReasonLeaving   Reason = "leaving"
+	ReasonQuiet     Reason = "quiet"
 	ReasonEjected   Reason = "ejected"
 	ReasonTried     Reason = "used by an earlier attempt"
 
--- a/internal/server/httperr/httperr.go
+++ b/internal/server/httperr/httperr.go
@@ -20,6 +20,7 @@
 	fault.CodeUnknownModel:            http.StatusNotFound,
 	fault.CodeUnknownService:          http.StatusNotFound,
 	fault.CodeNotAllowed:              http.StatusForbidden,
+	fault.CodePromptHeld:              http.StatusServiceUnavailable,
 	fault.CodeVersionWithdrawn:        http.StatusConflict,
 	fault.CodeTargetUnmet:             http.StatusServiceUnavailable,
 	fault.CodeConfigurationStale:      http.StatusServiceUnavailable,
--- a/internal/standin/modelserver/modelserver.go
+++ b/internal/standin/modelserver/modelserver.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cicadawall/cicadawall/internal/lockorder"
@@ -31,6 +32,11 @@
 	FaultForeign Fault = "foreign"
 	// FaultUnsealed answers without the response seal header.
 	FaultUnsealed Fault = "unsealed"
+	// FaultQuiet rejects the request without executing it and asks to get no requests for QuietTime.
+	FaultQuiet Fault = "quiet"
+	// FaultCrash sends the head of the answer and closes the connection before the first event, as a server does that ends when it
+	// begins to write.
+	FaultCrash Fault = "crash"
 	// FaultMute executes the request and sends no answer until the caller closes the connection.
 	FaultMute Fault = "mute"
 )
@@ -45,6 +51,12 @@
 	Delay time.Duration
 	// Confidence maps a model to the value of its confidence header; answers of other models lack the header.
 	Confidence map[string]int
+	// QuietTime is the time for which FaultQuiet asks.
+	QuietTime time.Duration
+	// CrashingPart, if not empty, is a part of a prompt on which the server behaves as with FaultCrash.
+	CrashingPart string
+	// RestartTime is how long the server closes each connection without an answer after such a crash.
+	RestartTime time.Duration
 }
 
 // Execution is one request that the server executed.
@@ -67,6 +79,12 @@
 	// faultsLeft is the number of requests to which the fault still applies; a negative number means all.
 	faultsLeft int
 	executions []Execution
+	// leaving makes all answers say that the server leaves.
+	leaving bool
+	// arrivals counts the requests that reached the server, executed or not.
+	arrivals int
+	// downUntil is when the server is back after a crash.
+	downUntil time.Time
 }
 
 // New returns a server without faults.
@@ -81,6 +99,41 @@
 	s.fault, s.faultsLeft = fault, count
 }
 
+// Leave makes all further answers say that the server leaves.
+func (s *Server) Leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = true
+}
+
+// Arrivals returns the number of requests that reached the server, executed or not.
+func (s *Server) Arrivals() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.arrivals
+}
+
+// arrive counts a request and reports whether the server leaves.
+func (s *Server) arrive() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.arrivals++
+	return s.leaving
+}
+
+// isDown reports whether the server restarts after a crash.
+func (s *Server) isDown() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Now().Before(s.downUntil)
+}
+
+func (s *Server) goDown() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.downUntil = time.Now().Add(s.options.RestartTime)
+}
+
 // Executions returns a copy of the requests that the server executed, in the order in which they arrived.
 func (s *Server) Executions() []Execution {
 	s.mu.Lock()
@@ -123,12 +176,25 @@
 	header := w.Header()
 	header.Set("Cicadawall-Request-Id", r.Header.Get("Cicadawall-Request-Id"))
 	header.Set("Cicadawall-Instance-Id", s.options.ID)
+	if s.isDown() {
+		common.CloseConnection()
+	}
+	if s.arrive() {
+		header.Set("Server-Leaving", "1")
+	}
 	if expected := r.Header.Get("Cicadawall-Expected-Instance"); expected != "" && expected != s.options.ID {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	fault := s.nextFault()
-	if fault == FaultFull {
+	if s.options.CrashingPart != "" && strings.Contains(r.Header.Get("Cicadawall-Prompt-Prefix"), s.options.CrashingPart+":") {
+		fault = FaultCrash
+		s.goDown()
+	}
+	if fault == FaultQuiet {
+		header.Set("Retry-After", strconv.FormatFloat(s.options.QuietTime.Seconds(), 'f', 3, 64))
+	}
+	if fault == FaultFull || fault == FaultQuiet {
 		header.Set("Cicadawall-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -143,7 +209,7 @@
 		common.CloseConnection()
 	case FaultForeign:
 		header.Set("Cicadawall-Request-Id", "another")
-	case FaultNone, FaultFull, FaultError, FaultBreak, FaultUnsealed:
+	case FaultNone, FaultFull, FaultQuiet, FaultError, FaultBreak, FaultCrash, FaultUnsealed:
 	}
 	if fault != FaultUnsealed {
 		header.Set("Cicadawall-Response-Seal", "seal-of-"+s.options.ID)
@@ -188,6 +254,11 @@
 		firstEvent = lastEvent + 1
 	}
 	controller := http.NewResponseController(w)
+	if fault == FaultCrash {
+		w.WriteHeader(http.StatusOK)
+		_ = controller.Flush()
+		common.CloseConnection()
+	}
 	for event := firstEvent; event <= s.options.EventCount; event++ {
 		common.Sleep(r.Context(), s.options.Delay)
 		if r.Context().Err() != nil {
