--- a/internal/crashguard/attempt.go
+++ b/internal/crashguard/attempt.go
@@ -21,7 +21,7 @@
 // that a request that waits in the queue of a server does not crash it. A trial is not cancelled.
 func (t *Table) Begin(service, server, request string, prompt []backend.PromptPart, trial bool, cancel func()) *Attempt {
 	attempt := &Attempt{
-		table: t, service: service, server: server, request: request, parts: sharedParts(prompt), trial: trial, cancel: cancel,
+		table: t, service: service, server: server, request: request, parts: SharedParts(prompt), trial: trial, cancel: cancel,
 	}
 	if len(attempt.parts) > 0 {
 		t.mu.Lock()
--- a/internal/crashguard/table.go
+++ b/internal/crashguard/table.go
@@ -19,7 +19,7 @@
 	maxPartBytes = 64
 	// maxAnsweredParts bounds the parts whose last answer is remembered, in each of two generations.
 	maxAnsweredParts = 2048
-	// trialTimeout is how long a trial may take before another request may try.
+	// trialTimeout is how long a trial may take before another request may try: longer than a prompt waits in the queue of a server.
 	trialTimeout = 15 * time.Second
 )
 
@@ -60,8 +60,8 @@
 	}
 }
 
-// sharedParts returns the parts of a prompt that count as evidence: all but the last one, which belongs to the request alone.
-func sharedParts(prompt []backend.PromptPart) []string {
+// SharedParts returns the parts of a prompt that count as evidence: all but the last one, which belongs to the request alone.
+func SharedParts(prompt []backend.PromptPart) []string {
 	var parts []string
 	for _, part := range prompt[:max(0, len(prompt)-1)] {
 		if len(part.ID) <= maxPartBytes && len(parts) < maxParts {
@@ -109,7 +109,7 @@
 	if len(t.holds) == 0 {
 		return Hold{}, false
 	}
-	parts := sharedParts(prompt)
+	parts := SharedParts(prompt)
 	for _, hold := range t.holds {
 		if hold.covers(service, parts) {
 			return hold, true
@@ -221,8 +221,9 @@
 	t.logChanges(before, after)
 }
 
-// expire removes old crashes, and some others if there are too many. The caller holds the lock.
+// expire removes ended trials and old crashes, and some others if there are too many. The caller holds the lock.
 func (t *Table) expire(now time.Time) {
+	maps.DeleteFunc(t.trials, func(_ string, began time.Time) bool { return now.Sub(began) >= trialTimeout })
 	for key, crash := range t.crashes {
 		if now.Sub(crash.At) > crashRetention {
 			delete(t.crashes, key)
--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -46,15 +46,6 @@
 	}
 }
 
-// sharedPartIDs returns the identifiers of the parts of a prompt that other requests may share: all but the last.
-func sharedPartIDs(prompt []backend.PromptPart) []string {
-	ids := make([]string, 0, len(prompt))
-	for _, part := range prompt[:max(0, len(prompt)-1)] {
-		ids = append(ids, part.ID)
-	}
-	return ids
-}
-
 // Attempt is one attempt of a request at one backend server.
 type Attempt struct {
 	Request      *Request
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -301,7 +301,7 @@
 	}
 	server.End(result, time.Now())
 	r.log("attempt ended without a response from the backend server", "server", server.Entry.ID, "sent", sent,
-		"kept_connection", staleConnection, "shared_parts", sharedPartIDs(r.request.Prompt), "error", err.Error())
+		"kept_connection", staleConnection, "shared_parts", crashguard.SharedParts(r.request.Prompt), "error", err.Error())
 	if sent {
 		r.executions++
 		r.mayHaveRun = true
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/cicadawall/cicadawall/internal/backend"
+	"github.com/cicadawall/cicadawall/internal/crashguard"
 	"github.com/cicadawall/cicadawall/internal/migration"
 )
 
@@ -112,7 +113,7 @@
 	}
 	r.mayHaveRun = true
 	r.log("stream of the backend server was interrupted", "server", server.Entry.ID, "after", r.lastEventID, "deliveries", delivered,
-		"shared_parts", sharedPartIDs(r.request.Prompt), "error", err.Error())
+		"shared_parts", crashguard.SharedParts(r.request.Prompt), "error", err.Error())
 	return r.retryOrFinish(false)
 }
 
