--- a/internal/migration/decide.go
+++ b/internal/migration/decide.go
@@ -65,7 +65,8 @@
 }
 
 // compare sums the counts of all instances since the order and tests them in total and for each class. The start and the pace of answers
-// are tested apart. If the new version is lightly loaded, its starts are also compared with those of lightly loaded servers.
+// are tested apart. If the new version is lightly loaded, the starts of its streams are also compared with those on lightly loaded servers;
+// the times of plain answers differ for other reasons than waiting.
 func (t *Table) compare(order Order, lightlyLoaded bool) (newCount, oldCount Count, result finding) {
 	newByClass, oldByClass := map[string]Count{}, map[string]Count{}
 	add := func(counts map[Key]Count) {
@@ -97,6 +98,8 @@
 			pace.addClass(count, oldByClass[class])
 		} else {
 			start.addClass(count, oldByClass[class])
+		}
+		if _, streams := oldByClass[class+PaceClassSuffix]; streams {
 			idleStart.addLightlyLoadedClass(count, oldByClass[class])
 		}
 		bad = bad || inClass.significant()
--- a/internal/migration/migration_test.go
+++ b/internal/migration/migration_test.go
@@ -309,3 +309,20 @@
 		t.Error("a histogram changes on its way")
 	}
 }
+
+// Guards against a good version of a plain service that is rolled back because its answers take longer than the fast ones of the old
+// version, whose times differ without any waiting (grown Guild and Parabole, good roll-out of the second service, seeds 2 and 1).
+func TestSpreadOfPlainAnswersIsNoSlowness(t *testing.T) {
+	table := NewTable(0.15)
+	table.AddOrder(ordered("v2", 10), 0, origin)
+	for n := range 800 {
+		table.Observe(service, "v1", "plain/", false, time.Duration(5+n%60)*time.Millisecond)
+	}
+	for n := range 30 {
+		table.Observe(service, "v2", "plain/", false, time.Duration(30+n%30)*time.Millisecond)
+	}
+	decisions := table.Decide(origin.Add(12 * time.Second))
+	if len(decisions) != 1 || decisions[0].Status.State != StateRunning {
+		t.Errorf("decisions are %+v, want the migration to go on", decisions)
+	}
+}
