--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -48,8 +48,8 @@
 	removeAt time.Time
 	// addressReused is set once another server has answered at the address.
 	addressReused bool
-	// quietUntil is when the server wants requests again; suspendedBefore is how long this machine had been suspended when it said so.
-	quietUntil      time.Time
+	// backoffUntil is when the server wants requests again; suspendedBefore is how long this machine had been suspended when it said so.
+	backoffUntil    time.Time
 	suspendedBefore time.Duration
 	// invalidSignal is set once the server has sent a signal that could not be understood.
 	invalidSignal bool
@@ -236,7 +236,7 @@
 		ID:            r.entry.ID,
 		Zone:          r.entry.AvailabilityZone,
 		Leaving:       r.entry.Leaving || r.addressReused,
-		QuietUntil:    r.quietEnd(now),
+		BackoffUntil:  r.backoffEnd(now),
 		EjectedUntil:  r.health.ejectedUntil,
 		InFlight:      r.inFlight,
 		Software:      r.entry.Software,
--- a/internal/backend/signals.go
+++ b/internal/backend/signals.go
@@ -15,8 +15,8 @@
 	maxRecentLeaving = 64
 	// leavingRetention is how long a leaving process is remembered after its row was removed, because its entry may return.
 	leavingRetention = 10 * time.Minute
-	// maxQuietTime bounds the time for which a server may ask to get no requests, so that a wrong number does not remove it for good.
-	maxQuietTime = 10 * time.Minute
+	// maxBackoff bounds the time for which a server may ask to get no requests, so that a wrong number does not remove it for good.
+	maxBackoff = 10 * time.Minute
 )
 
 // Process identifies a server process.
@@ -75,20 +75,20 @@
 	return recent[:min(len(recent), maxRecentLeaving)]
 }
 
-// MarkQuiet records that the server asked to get no requests for some time.
-func (a *Attempt) MarkQuiet(wait time.Duration, now time.Time) {
+// MarkBackoff records that the server asked to get no requests for some time.
+func (a *Attempt) MarkBackoff(wait time.Duration, now time.Time) {
 	a.directory.mu.Lock()
 	defer a.directory.mu.Unlock()
-	a.row.quietUntil = now.Add(min(maxQuietTime, wait))
+	a.row.backoffUntil = now.Add(min(maxBackoff, wait))
 	a.row.suspendedBefore = suspend.Total()
 }
 
-// quietEnd returns until when the server wants no requests. The time in which this machine was suspended counts.
-func (r *row) quietEnd(now time.Time) time.Time {
-	if !now.Before(r.quietUntil) {
+// backoffEnd returns until when the server wants no requests. The time in which this machine was suspended counts.
+func (r *row) backoffEnd(now time.Time) time.Time {
+	if !now.Before(r.backoffUntil) {
 		return time.Time{}
 	}
-	return r.quietUntil.Add(r.suspendedBefore - suspend.Total())
+	return r.backoffUntil.Add(r.suspendedBefore - suspend.Total())
 }
 
 // FirstInvalidSignal reports whether the server had sent no invalid signal before.
--- a/internal/backend/signals_test.go
+++ b/internal/backend/signals_test.go
@@ -63,24 +63,24 @@
 }
 
 // Guards against requests within the time that a server asked for, a wait without end, and a worse record of a server that asks.
-func TestQuietTimeOfServer(t *testing.T) {
+func TestBackoffOfServer(t *testing.T) {
 	d := NewDirectory()
 	d.Replace([]Entry{entry("a")}, 0, now)
 	attempt := begin(t, d, "a")
-	attempt.MarkQuiet(90*time.Second, now)
+	attempt.MarkBackoff(90*time.Second, now)
 	attempt.End(ResultNeutral, now)
-	quietUntil := func(at time.Time) time.Time { return d.Candidates(Query{Service: "desk"}, at)[0].QuietUntil }
+	backoffUntil := func(at time.Time) time.Time { return d.Candidates(Query{Service: "desk"}, at)[0].BackoffUntil }
 	// The time of suspension is the difference of two clocks that are read one after the other.
 	const clockError = time.Millisecond
-	if got := quietUntil(now.Add(89 * time.Second)).Sub(now); got < 89*time.Second || got > 90*time.Second+clockError {
-		t.Errorf("quiet for %s", got)
+	if got := backoffUntil(now.Add(89 * time.Second)).Sub(now); got < 89*time.Second || got > 90*time.Second+clockError {
+		t.Errorf("backoff %s", got)
 	}
-	if at := now.Add(90 * time.Second); quietUntil(at).After(at) {
-		t.Error("quiet after the time")
+	if at := now.Add(90 * time.Second); backoffUntil(at).After(at) {
+		t.Error("backoff after the time")
 	}
-	attempt.MarkQuiet(1000*time.Hour, now)
-	if got := quietUntil(now).Sub(now); got > maxQuietTime+clockError {
-		t.Errorf("quiet for %s", got)
+	attempt.MarkBackoff(1000*time.Hour, now)
+	if got := backoffUntil(now).Sub(now); got > maxBackoff+clockError {
+		t.Errorf("backoff %s", got)
 	}
 	if c := d.Candidates(Query{Service: "desk"}, now)[0]; c.FailureRate != 0 || c.EjectedUntil.After(now) {
 		t.Errorf("record of the server: %+v", c)
--- a/internal/e2e/fleet_signals_test.go
+++ b/internal/e2e/fleet_signals_test.go
@@ -42,12 +42,12 @@
 	}
 }
 
-// Guards against requests to servers that asked for quiet, and against a caller that is not told when to return.
-func TestFleetKeepsQuietTimeOfServers(t *testing.T) {
+// Guards against requests to servers that asked for a backoff, and against a caller that is not told when to return.
+func TestFleetKeepsBackoffOfServers(t *testing.T) {
 	f := newFleet(t, 1)
 	for _, server := range f.servers {
 		if strings.HasPrefix(server.id, "order-") {
-			server.SetFault(modelserver.FaultQuiet, -1)
+			server.SetFault(modelserver.FaultBackoff, -1)
 		}
 	}
 	arrivals := func() int {
@@ -58,7 +58,7 @@
 		return total
 	}
 	for n := range 3 {
-		f.send(f.instances[0], http.MethodGet, "/look/x", "quiet-"+strconv.Itoa(n))
+		f.send(f.instances[0], http.MethodGet, "/look/x", "backoff-"+strconv.Itoa(n))
 	}
 	before := arrivals()
 	for n := range 20 {
@@ -70,7 +70,7 @@
 		}
 	}
 	if got := arrivals(); got != before {
-		t.Errorf("%d requests reached servers that asked for quiet", got-before)
+		t.Errorf("%d requests reached servers that asked for a backoff", got-before)
 	}
 }
 
--- a/internal/e2e/fleet_world_test.go
+++ b/internal/e2e/fleet_world_test.go
@@ -23,8 +23,8 @@
 	streamEventCount = 12
 	// recoveryTimeout limits the time until requests are served again after the last fault.
 	recoveryTimeout = 12 * time.Second
-	// quietTime is the time for which a server asks to get no requests; it is longer than any test.
-	quietTime = 5 * time.Minute
+	// backoff is the time for which a server asks to get no requests; it is longer than any test.
+	backoff = 5 * time.Minute
 	// crashingPart is a part of a prompt that crashes the stand-ins of model servers, which are back after serverRestartTime.
 	crashingPart      = "crashing"
 	serverRestartTime = time.Second
@@ -87,7 +87,7 @@
 	f.t.Helper()
 	server := modelserver.New(modelserver.Options{
 		ID: id, EventCount: streamEventCount, Delay: eventInterval, Confidence: map[string]int{"small": 90, "large": 100},
-		QuietTime: quietTime, CrashingPart: crashingPart, RestartTime: serverRestartTime,
+		Backoff: backoff, CrashingPart: crashingPart, RestartTime: serverRestartTime,
 	})
 	httpServer := httptest.NewServer(server)
 	f.t.Cleanup(httpServer.CloseClientConnections)
--- a/internal/gateway/finish.go
+++ b/internal/gateway/finish.go
@@ -57,10 +57,10 @@
 	case deadlinePassed:
 		return fault.NotRun(fault.StepChoose, fault.CodeDeadlineExceeded,
 			"the deadline passed before a backend server accepted the request")
-	case r.quietTime > 0:
+	case r.backoff > 0:
 		// Callers return one after the other when servers want requests again, rather than in one burst.
 		return fault.NotRun(fault.StepChoose, fault.CodeNoBackendServer,
-			"all backend servers ask for time").WithRetryAfter(r.quietTime + spread(r.quietTime, r.rng))
+			"all backend servers ask for time").WithRetryAfter(r.backoff + spread(r.backoff, r.rng))
 	default:
 		return fault.NotRun(fault.StepChoose, fault.CodeNoBackendServer,
 			"no backend server accepts the request now").WithRetryAfter(refusalRetryAfter)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -67,7 +67,7 @@
 	}
 	return &Reply{
 		Verdict: a.verdict, Confidence: a.confidence, IsEventStream: a.events != nil, Body: &scriptedBody{ctx: ctx, action: a},
-		ServerLeaving: a.signals.leaving, QuietTime: a.signals.quiet,
+		ServerLeaving: a.signals.leaving, Backoff: a.signals.backoff,
 	}, nil
 }
 
--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -84,9 +84,9 @@
 	Verdict Verdict
 	// Confidence is the model's confidence in its answer, from 0 to 100, or -1 if the server states none.
 	Confidence int
-	// ServerLeaving is set if the server says that it leaves, and QuietTime is how long it asks to get no requests; zero if it does not.
+	// ServerLeaving is set if the server says that it leaves, and Backoff is how long it asks to get no requests; zero if it does not.
 	ServerLeaving bool
-	QuietTime     time.Duration
+	Backoff       time.Duration
 	// InvalidSignal describes a header about leaving or waiting that cannot be understood; empty if there is none.
 	InvalidSignal string
 	// IsEventStream is set if the body is a stream of events.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -68,8 +68,8 @@
 	serverFailureBody []byte
 	// newConnection makes the next attempt open a new connection because a reused one had been closed by the server.
 	newConnection bool
-	// quietTime is the time until the first server wants requests again, if no server was eligible because all asked for quiet.
-	quietTime time.Duration
+	// backoff is the time until the first server wants requests again, if no server was eligible because all asked for a backoff.
+	backoff time.Duration
 	// crashes counts the attempts whose server may have ended because it began to answer the request.
 	crashes int
 	// hold says whether the request may be sent to a server, as of the last check.
@@ -177,7 +177,7 @@
 	preference := r.gateway.Versions.Choose(r.service.Name, r.request.sessionID(), len(r.request.Prompt) == 0, now)
 	choice := r.chooseServer(candidates, preference, now)
 	if !choice.Found {
-		r.quietTime = routing.QuietTime(candidates, now)
+		r.backoff = routing.ShortestBackoff(candidates, now)
 		r.finishUnanswered()
 		return nil, false
 	}
@@ -323,8 +323,8 @@
 	switch {
 	case reply.Verdict == VerdictMisdirected:
 		result = backend.ResultMisdirected
-	case reply.QuietTime > 0 || reply.ServerLeaving:
-		// A server that leaves or asks for quiet is not faulty.
+	case reply.Backoff > 0 || reply.ServerLeaving:
+		// A server that leaves or asks for a backoff is not faulty.
 		result = backend.ResultNeutral
 	}
 	server.End(result, time.Now())
--- a/internal/gateway/signals.go
+++ b/internal/gateway/signals.go
@@ -8,10 +8,10 @@
 )
 
 const (
-	// quietSpread is the fraction of a server's quiet time by which instances return later, so that they do not return together, and
-	// maxQuietSpread bounds it.
-	quietSpread    = 0.25
-	maxQuietSpread = 2 * time.Second
+	// backoffSpread is the fraction of a server's backoff by which instances return later, so that they do not return together, and
+	// maxBackoffSpread bounds it.
+	backoffSpread    = 0.25
+	maxBackoffSpread = 2 * time.Second
 )
 
 // recordSignals records what an answer says about its server beside the answer itself. On an address that now belongs to another server
@@ -24,10 +24,10 @@
 	if reply.ServerLeaving && server.MarkLeaving(now) {
 		r.log("backend server says that it leaves", "server", server.Entry.ID, "address", server.Entry.Address)
 	}
-	if reply.QuietTime > 0 {
-		wait := reply.QuietTime + spread(reply.QuietTime, r.rng)
-		server.MarkQuiet(wait, now)
-		r.log("backend server wants no requests for some time", "server", server.Entry.ID, "asked_ms", reply.QuietTime.Milliseconds(),
+	if reply.Backoff > 0 {
+		wait := reply.Backoff + spread(reply.Backoff, r.rng)
+		server.MarkBackoff(wait, now)
+		r.log("backend server wants no requests for some time", "server", server.Entry.ID, "asked_ms", reply.Backoff.Milliseconds(),
 			"wait_ms", wait.Milliseconds())
 	}
 	if reply.InvalidSignal != "" && server.FirstInvalidSignal() {
@@ -37,5 +37,5 @@
 
 // spread returns a random time by which a return after a wait is delayed.
 func spread(wait time.Duration, rng *rand.Rand) time.Duration {
-	return time.Duration(rng.Float64() * float64(min(maxQuietSpread, time.Duration(quietSpread*float64(wait)))))
+	return time.Duration(rng.Float64() * float64(min(maxBackoffSpread, time.Duration(backoffSpread*float64(wait)))))
 }
--- a/internal/gateway/signals_test.go
+++ b/internal/gateway/signals_test.go
@@ -13,7 +13,7 @@
 // serverSignals are what the answers of a signallingBackends say about the server.
 type serverSignals struct {
 	leaving bool
-	quiet   time.Duration
+	backoff time.Duration
 }
 
 // Guards against a request that is sent to a server after an answer, of whatever kind, said that the server leaves.
@@ -50,10 +50,10 @@
 
 // Guards against requests to servers within the time for which they asked, and against callers that wait for their deadline although no
 // server accepts their request before: they are told at once when one does.
-func TestQuietServersGetNoRequests(t *testing.T) {
-	const quiet = 4 * time.Second
+func TestBackoffOfServersIsKept(t *testing.T) {
+	const backoff = 4 * time.Second
 	synctest.Test(t, func(t *testing.T) {
-		refusal := serverAction{verdict: VerdictNotRun, signals: serverSignals{quiet: quiet}}
+		refusal := serverAction{verdict: VerdictNotRun, signals: serverSignals{backoff: backoff}}
 		backends := &scriptedBackends{actions: []serverAction{refusal, refusal, {body: "served"}}}
 		g := newGateway(2, backends, slog.New(slog.NewJSONHandler(io.Discard, nil)))
 		defer g.Stop()
@@ -67,17 +67,17 @@
 		}
 		for range 10 {
 			caller := send()
-			if caller.refusal == nil || caller.refusal.RetryAfter <= 0 || caller.refusal.RetryAfter > 2*quiet {
+			if caller.refusal == nil || caller.refusal.RetryAfter <= 0 || caller.refusal.RetryAfter > 2*backoff {
 				t.Fatalf("refusal: %+v", caller.refusal)
 			}
-			<-time.After(quiet / 12)
+			<-time.After(backoff / 12)
 		}
 		if len(backends.attempts) != 2 {
-			t.Errorf("%d attempts within the quiet time", len(backends.attempts))
+			t.Errorf("%d attempts within the backoff", len(backends.attempts))
 		}
-		<-time.After(2 * quiet)
+		<-time.After(2 * backoff)
 		if caller := send(); caller.text != "served" {
-			t.Errorf("after the quiet time: %+v", caller)
+			t.Errorf("after the backoff: %+v", caller)
 		}
 	})
 }
@@ -85,11 +85,11 @@
 // Guards against instances that all return to a server at the same moment: of 50 at most a third return within any tenth of the time over
 // which they are spread, and none before the server asked for it.
 func TestInstancesReturnSpread(t *testing.T) {
-	const instances, quiet = 50, 4 * time.Second
-	width := time.Duration(quietSpread * float64(quiet))
+	const instances, backoff = 50, 4 * time.Second
+	width := time.Duration(backoffSpread * float64(backoff))
 	perTenth := map[time.Duration]int{}
 	for seed := range uint64(instances) {
-		delay := spread(quiet, rand.New(rand.NewPCG(seed, 1)))
+		delay := spread(backoff, rand.New(rand.NewPCG(seed, 1)))
 		if delay < 0 || delay > width {
 			t.Errorf("delay %s", delay)
 		}
@@ -100,7 +100,7 @@
 			t.Errorf("%d of %d instances return in tenth %d", count, instances, tenth)
 		}
 	}
-	if got := spread(time.Hour, rand.New(rand.NewPCG(1, 1))); got > maxQuietSpread {
+	if got := spread(time.Hour, rand.New(rand.NewPCG(1, 1))); got > maxBackoffSpread {
 		t.Errorf("delay %s after an hour", got)
 	}
 }
--- a/internal/routing/gateway.go
+++ b/internal/routing/gateway.go
@@ -38,25 +38,25 @@
 	return ReasonNone
 }
 
-// QuietFilter drops servers that asked to get no requests for some time.
-type QuietFilter struct{}
+// BackoffFilter drops servers that asked to get no requests for some time.
+type BackoffFilter struct{}
 
 // DropReason implements Filter.
-func (QuietFilter) DropReason(c *Candidate, _ *Request, now time.Time) Reason {
-	if now.Before(c.QuietUntil) {
-		return ReasonQuiet
+func (BackoffFilter) DropReason(c *Candidate, _ *Request, now time.Time) Reason {
+	if now.Before(c.BackoffUntil) {
+		return ReasonBackoff
 	}
 	return ReasonNone
 }
 
-// QuietTime returns the time until the first of the candidates wants requests again; zero if one wants them now or there are none.
-func QuietTime(candidates []Candidate, now time.Time) time.Duration {
+// ShortestBackoff returns the time until the first of the candidates wants requests again; zero if one wants them now or there are none.
+func ShortestBackoff(candidates []Candidate, now time.Time) time.Duration {
 	shortest := time.Duration(0)
 	for i := range candidates {
 		if candidates[i].Leaving {
 			continue
 		}
-		wait := candidates[i].QuietUntil.Sub(now)
+		wait := candidates[i].BackoffUntil.Sub(now)
 		if wait <= 0 {
 			return 0
 		}
@@ -146,7 +146,7 @@
 // PromptPolicy chooses a server for a request with a prompt.
 func PromptPolicy() Policy {
 	return Policy{
-		Filters: []Filter{SoftwareVersionFilter{}, LeavingFilter{}, QuietFilter{}, EjectedFilter{}, TriedFilter{}, InFlightLimitFilter{}},
+		Filters: []Filter{SoftwareVersionFilter{}, LeavingFilter{}, BackoffFilter{}, EjectedFilter{}, TriedFilter{}, InFlightLimitFilter{}},
 		Scorers: []Scorer{PrefillScorer{}, PartitionScorer{}, FailureScorer{}, ZoneScorer{}},
 		Picker:  LowestScore{},
 	}
@@ -155,7 +155,7 @@
 // PlainPolicy chooses a server for a request without a prompt.
 func PlainPolicy() Policy {
 	return Policy{
-		Filters: []Filter{SoftwareVersionFilter{}, LeavingFilter{}, QuietFilter{}, EjectedFilter{}, TriedFilter{}, InFlightLimitFilter{}},
+		Filters: []Filter{SoftwareVersionFilter{}, LeavingFilter{}, BackoffFilter{}, EjectedFilter{}, TriedFilter{}, InFlightLimitFilter{}},
 		Scorers: []Scorer{ResponseTimeScorer{}, FailureScorer{}, ZoneScorer{}},
 		Picker:  LowestScore{},
 	}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -25,8 +25,8 @@
 	Zone     string
 	Versions []declaration.VersionID
 	Leaving  bool
-	// QuietUntil is the time until which the server asked to get no requests.
-	QuietUntil   time.Time
+	// BackoffUntil is the time until which the server asked to get no requests.
+	BackoffUntil time.Time
 	EjectedUntil time.Time
 	// InFlight is the exact number of this instance's requests on the server.
 	InFlight int
@@ -119,7 +119,7 @@
 	ReasonNone      Reason = ""
 	ReasonNotLoaded Reason = "version not loaded"
 	ReasonLeaving   Reason = "leaving"
-	ReasonQuiet     Reason = "quiet"
+	ReasonBackoff   Reason = "backoff"
 	ReasonEjected   Reason = "ejected"
 	ReasonTried     Reason = "used by an earlier attempt"
 
--- a/internal/standin/modelserver/modelserver.go
+++ b/internal/standin/modelserver/modelserver.go
@@ -32,8 +32,8 @@
 	FaultForeign Fault = "foreign"
 	// FaultUnsealed answers without the response seal header.
 	FaultUnsealed Fault = "unsealed"
-	// FaultQuiet rejects the request without executing it and asks to get no requests for QuietTime.
-	FaultQuiet Fault = "quiet"
+	// FaultBackoff rejects the request without executing it and asks to get no requests for Backoff.
+	FaultBackoff Fault = "backoff"
 	// FaultCrash sends the head of the answer and closes the connection before the first event, as a server does that ends when it
 	// begins to write.
 	FaultCrash Fault = "crash"
@@ -51,8 +51,8 @@
 	Delay time.Duration
 	// Confidence maps a model to the value of its confidence header; answers of other models lack the header.
 	Confidence map[string]int
-	// QuietTime is the time for which FaultQuiet asks.
-	QuietTime time.Duration
+	// Backoff is the time for which FaultBackoff asks.
+	Backoff time.Duration
 	// CrashingPart, if not empty, is a part of a prompt on which the server behaves as with FaultCrash.
 	CrashingPart string
 	// RestartTime is how long the server closes each connection without an answer after such a crash.
@@ -191,10 +191,10 @@
 		fault = FaultCrash
 		s.goDown()
 	}
-	if fault == FaultQuiet {
-		header.Set("Retry-After", strconv.FormatFloat(s.options.QuietTime.Seconds(), 'f', 3, 64))
+	if fault == FaultBackoff {
+		header.Set("Retry-After", strconv.FormatFloat(s.options.Backoff.Seconds(), 'f', 3, 64))
 	}
-	if fault == FaultFull || fault == FaultQuiet {
+	if fault == FaultFull || fault == FaultBackoff {
 		header.Set("Cicadawall-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -209,7 +209,7 @@
 		common.CloseConnection()
 	case FaultForeign:
 		header.Set("Cicadawall-Request-Id", "another")
-	case FaultNone, FaultFull, FaultQuiet, FaultError, FaultBreak, FaultCrash, FaultUnsealed:
+	case FaultNone, FaultFull, FaultBackoff, FaultError, FaultBreak, FaultCrash, FaultUnsealed:
 	}
 	if fault != FaultUnsealed {
 		header.Set("Cicadawall-Response-Seal", "seal-of-"+s.options.ID)
