Show that a restart completes the roll-out of a bad version

The counts of good and bad answers are lost with the processes, and the first one to start records the version as completed without any evidence.

--- a/review/kit/server.go
+++ b/review/kit/server.go
@@ -98,7 +98,11 @@
 		_ = c.Close()
 	}
 	s.mu.Unlock()
-	time.AfterFunc(down, func() { s.listen(s.address) })
+	time.AfterFunc(down, func() {
+		s.born = time.Now().UnixMilli()
+		s.listen(s.address)
+		s.register("ready")
+	})
 }
 
 func (s *server) serve(w http.ResponseWriter, r *http.Request) {
--- a/review/kit/stubs.go
+++ /dev/null
@@ -1,5 +0,0 @@
-//go:build review
-
-package main
-
-func caseDeadly() {}
