Let the servers of the crashing-part case write one event first

review/5 now plays servers that crash after the head and the first event of their answer, which fits the users' words ("begins to write an answer") better than a crash before the head.

--- a/review/kit/case_deadly.go
+++ b/review/kit/case_deadly.go
@@ -51,17 +51,19 @@
 			if !sleep(r, 60*time.Millisecond) {
 				return
 			}
-			if deadly {
-				mu.Lock()
-				crashes = append(crashes, time.Now())
-				record("%s begins to write an answer on %s and crashes (crash %d)", s.id, id, len(crashes))
-				mu.Unlock()
-				s.crash(restartTime)
-				return
-			}
 			s.seal(w)
 			w.Header().Set("Content-Type", "text/event-stream")
-			events(w, r, 16, 30*time.Millisecond)
+			if !deadly {
+				events(w, r, 16, 30*time.Millisecond)
+				return
+			}
+			events(w, r, firstEvent(r), 0)
+			time.Sleep(10 * time.Millisecond)
+			mu.Lock()
+			crashes = append(crashes, time.Now())
+			record("%s has begun to write an answer on %s, with one event, and crashes (crash %d)", s.id, id, len(crashes))
+			mu.Unlock()
+			s.crash(restartTime)
 		}
 		f.startServer(s)
 	}
--- a/review/kit/server.go
+++ b/review/kit/server.go
@@ -162,14 +162,18 @@
 	}
 }
 
+// firstEvent returns the number of the event after the one that Last-Event-Id names.
+func firstEvent(r *http.Request) int {
+	if last, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
+		return last + 1
+	}
+	return 1
+}
+
 // events writes the events of a stream after the one that Last-Event-Id names.
 func events(w http.ResponseWriter, r *http.Request, count int, pause time.Duration) {
 	controller := http.NewResponseController(w)
-	first := 1
-	if last, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
-		first = last + 1
-	}
-	for n := first; n <= count; n++ {
+	for n := firstEvent(r); n <= count; n++ {
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, strings.Repeat("x", 40))
 		_ = controller.Flush()
 		if n < count && !sleep(r, pause) {
