--- a/review/kit/case_crash.go
+++ b/review/kit/case_crash.go
@@ -19,6 +19,8 @@
 	slowBody    = 13 * time.Second
 	callers     = 6
 	maxCut      = 3
+	// longPrefill is the time until a server begins to answer a long prompt; it is below the aim of the sheet's longest requests.
+	longPrefill = 3500 * time.Millisecond
 )
 
 // restart stops an instance with SIGTERM, as the platform does, and starts it again.
@@ -87,7 +89,7 @@
 		"Name": "models", "HealthCheckPath": "/health", "MaxConnections": 360, "Protocol": "h1", "Tls": false,
 		"Engine": map[string]any{"Slots": 16, "KvCacheTokens": 595276, "Models": []any{map[string]any{"Name": smallModel, "Cost": 0.018}}},
 	}}, manifestRoute("draft", "streaming", "models", map[string]any{
-		"TimeoutMs": 25000, "TargetLatencyMs": 2000, "MaxAttempts": 3, "SessionAffinity": true, "StreamResumption": true, "TargetGapMs": 2000,
+		"TimeoutMs": 25000, "TargetLatencyMs": 4000, "MaxAttempts": 3, "SessionAffinity": true, "StreamResumption": true, "TargetGapMs": 2000,
 	}))
 	var mu sync.Mutex
 	runs := map[string]bool{}
@@ -99,16 +101,17 @@
 			runs[id] = true
 			mu.Unlock()
 			record("%s runs at %s", id, s.id)
-			if !sleep(r, 40*time.Millisecond) {
+			// A long prompt is read for longer before the answer begins.
+			prefill := 40 * time.Millisecond
+			if strings.HasSuffix(r.URL.Path, "/long") {
+				prefill = longPrefill
+			}
+			if !sleep(r, prefill) {
 				return
 			}
 			s.seal(w)
 			w.Header().Set("Content-Type", "text/event-stream")
-			count := 4
-			if strings.HasSuffix(r.URL.Path, "/long") {
-				count = 76
-			}
-			events(w, r, count, 60*time.Millisecond)
+			events(w, r, 4, 60*time.Millisecond)
 		}
 		f.startServer(s)
 	}
@@ -180,9 +183,9 @@
 			a := ask(client, first, "/draft/long")
 			mu.Lock()
 			defer mu.Unlock()
-			if runs[a.id] && a.err != nil {
+			if runs[a.id] && a.err != nil && a.status == 0 {
 				cut++
-				record("%s was passed on from a kept channel, which was closed without a complete answer", a.id)
+				record("%s was passed on from a kept channel, which was closed without an answer", a.id)
 			}
 		})
 	}
@@ -192,9 +195,9 @@
 	crashed := first.ended()
 	record("the process of %s has ended by itself: %v", first.name, crashed)
 	if cut > maxCut {
-		end(1, "LOST is broken: %d of %d requests of kept channels were passed on and got no complete answer; the process has ended by itself: %v",
+		end(1, "LOST is broken: %d of %d requests of kept channels were passed on and got no answer; the process has ended by itself: %v",
 			cut, callers, crashed)
 	}
-	end(0, "LOST holds: %d of %d requests of kept channels were passed on and got no complete answer; the process has ended by itself: %v",
+	end(0, "LOST holds: %d of %d requests of kept channels were passed on and got no answer; the process has ended by itself: %v",
 		cut, callers, crashed)
 }
