Keep a version in service after a restart if it was completed after a rollback

The service ran on a version that had been rolled back, ordered again and completed.

Cause: a rollback was remembered without its place in time. In memory a new order of the version cleared it, but the row withdrawn/SERVICE/VERSION stayed in the store and the list of withdrawn versions that instances exchange had no revisions, so an instance that started later, or a peer that lagged, withdrew the version in service.

Orders, completions and rollbacks of a version now carry their revision, and the last one counts.

--- a/internal/api/peer.gen.go
+++ b/internal/api/peer.gen.go
@@ -261,8 +261,8 @@
 	Suspect bool   `json:"suspect,omitempty" yaml:"suspect,omitempty"`
 	Target  string `json:"target" yaml:"target"`
 
-	// WithdrawnTargets Target versions of earlier orders that were rolled back.
-	WithdrawnTargets []string `json:"withdrawn,omitempty" yaml:"withdrawn,omitempty"`
+	// Versions Last known event of each version that was ordered.
+	Versions []GatewayVersion `json:"versions,omitempty" yaml:"versions,omitempty"`
 }
 
 // GatewayMigrationStart Value of the row that records when a migration order was first seen.
@@ -373,6 +373,16 @@
 	ServersRowVersion int64 `json:"serversRow,omitempty" yaml:"serversRow,omitempty"`
 }
 
+// GatewayVersion Last known event of a software version of a service, which is its order, its completion or its rollback.
+type GatewayVersion struct {
+	// Revision Revision of the event.
+	Revision int64  `json:"revision" yaml:"revision"`
+	Version  string `json:"version" yaml:"version"`
+
+	// Withdrawn Whether the event is a rollback.
+	Withdrawn bool `json:"withdrawn,omitempty" yaml:"withdrawn,omitempty"`
+}
+
 // HeldVersion Version that takes no new work until its hold is released.
 type HeldVersion struct {
 	Model   string `json:"model" yaml:"model"`
--- a/internal/exchange/merge.go
+++ b/internal/exchange/merge.go
@@ -114,8 +114,8 @@
 	order := migration.Order{
 		Service: m.Service, Target: m.Target, Revision: m.Revision, Duration: time.Duration(m.DurationMillis) * time.Millisecond,
 	}
-	for _, version := range m.WithdrawnTargets {
-		e.Migrations.MarkWithdrawn(m.Service, version)
+	for _, v := range m.Versions {
+		e.Migrations.AddVersionRecord(m.Service, migration.VersionRecord{Version: v.Version, Revision: v.Revision, Withdrawn: v.Withdrawn})
 	}
 	if order.Target != "" {
 		e.Migrations.AddOrder(order, time.Duration(m.AgeMillis)*time.Millisecond, now)
--- a/internal/exchange/state.go
+++ b/internal/exchange/state.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cicadawall/cicadawall/internal/api"
+	"github.com/cicadawall/cicadawall/internal/migration"
 	"github.com/cicadawall/cicadawall/internal/rowfeed"
 )
 
@@ -37,7 +38,7 @@
 			Service: cmp.Or(view.Order.Service, view.Status.Service), Target: view.Order.Target, DurationMillis: view.Order.Duration.Milliseconds(),
 			Revision: view.Order.Revision, AgeMillis: view.Age.Milliseconds(), Suspect: view.Suspect,
 			State: string(view.Status.State), StateTarget: view.Status.Target, StateRevision: view.Status.Revision,
-			WithdrawnTargets: view.Withdrawn,
+			Versions: encodeVersions(view.Versions),
 		})
 	}
 	if query.Full && !e.StoreUnavailable(now) {
@@ -47,6 +48,15 @@
 	return state
 }
 
+// encodeVersions converts the last events of versions to the form in which peers exchange them.
+func encodeVersions(records []migration.VersionRecord) []api.GatewayVersion {
+	versions := make([]api.GatewayVersion, 0, len(records))
+	for _, r := range records {
+		versions = append(versions, api.GatewayVersion{Version: r.Version, Revision: r.Revision, Withdrawn: r.Withdrawn})
+	}
+	return versions
+}
+
 // Document returns the encoded configuration in force, or nil.
 func (e *Exchange) Document() []byte {
 	if c := e.Configurations.Current(); c != nil {
--- a/internal/migration/decide.go
+++ b/internal/migration/decide.go
@@ -1,7 +1,6 @@
 package migration
 
 import (
-	"slices"
 	"strings"
 	"time"
 )
@@ -138,8 +137,8 @@
 	Status  Status
 	Age     time.Duration
 	Suspect bool
-	// Withdrawn are the targets of earlier orders that were rolled back.
-	Withdrawn []string
+	// Versions are the last events of the versions of the service.
+	Versions []VersionRecord
 }
 
 // Views returns a copy of all migrations.
@@ -148,7 +147,7 @@
 	defer t.mu.Unlock()
 	views := make([]View, 0, len(t.migrations))
 	for _, r := range t.migrations {
-		views = append(views, View{Order: r.order, Status: r.status, Age: now.Sub(r.started), Suspect: r.suspect, Withdrawn: slices.Clone(r.withdrawn)})
+		views = append(views, View{Order: r.order, Status: r.status, Age: now.Sub(r.started), Suspect: r.suspect, Versions: r.versions.all()})
 	}
 	return views
 }
--- a/internal/migration/table.go
+++ b/internal/migration/table.go
@@ -25,8 +25,8 @@
 	started time.Time
 	// suspect is set once this instance or a peer found the target bad. It takes effect before the rollback is recorded.
 	suspect bool
-	// withdrawn holds the targets of earlier orders that were rolled back. Their backend servers keep running for some seconds.
-	withdrawn []string
+	// versions says which versions are withdrawn. The backend servers of a version that was rolled back keep running for some seconds.
+	versions versionRecords
 }
 
 // Table holds the migrations of all services and the evidence about their versions. It is safe for concurrent use.
@@ -65,16 +65,17 @@
 func (t *Table) AddOrder(order Order, age time.Duration, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r, ok := t.migrations[order.Service]
-	if ok && r.order.Revision >= order.Revision {
+	r := t.migration(order.Service)
+	if r.order.Revision >= order.Revision {
 		r.moveStartBack(order.Revision, now.Add(-age))
 		return false
 	}
-	replacement := &serviceMigration{order: order, started: now.Add(-age)}
-	if ok {
-		replacement.status = r.status
-		replacement.withdrawn = r.withdrawnTargets(order.Target)
+	versions := r.versions
+	if r.order.Target != "" && r.state() == StateRolledBack {
+		versions.add(VersionRecord{Version: r.order.Target, Revision: r.order.Revision, Withdrawn: true})
 	}
+	versions.add(VersionRecord{Version: order.Target, Revision: order.Revision})
+	replacement := &serviceMigration{order: order, started: now.Add(-age), status: r.status, versions: versions}
 	if recorded := t.orderStarts[order.Service]; recorded.revision == order.Revision {
 		replacement.moveStartBack(recorded.revision, recorded.at)
 	}
@@ -83,13 +84,14 @@
 	return true
 }
 
-// withdrawnTargets returns the versions that were rolled back, except the target of the current order.
-func (r *serviceMigration) withdrawnTargets(orderedTarget string) []string {
-	versions := slices.Clone(r.withdrawn)
-	if r.order.Target != "" && r.state() == StateRolledBack && !slices.Contains(versions, r.order.Target) {
-		versions = append(versions, r.order.Target)
+// migration returns the migration of a service and adds it if there is none. The caller holds the lock.
+func (t *Table) migration(service string) *serviceMigration {
+	r, ok := t.migrations[service]
+	if !ok {
+		r = &serviceMigration{versions: versionRecords{}}
+		t.migrations[service] = r
 	}
-	return slices.DeleteFunc(versions, func(version string) bool { return version == orderedTarget })
+	return r
 }
 
 // moveStartBack adopts an earlier start of the same order.
@@ -126,11 +128,8 @@
 func (t *Table) ApplyStatus(status Status) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r, ok := t.migrations[status.Service]
-	if !ok {
-		r = &serviceMigration{}
-		t.migrations[status.Service] = r
-	}
+	r := t.migration(status.Service)
+	r.versions.add(VersionRecord{Version: status.Target, Revision: status.Revision, Withdrawn: status.State == StateRolledBack})
 	if r.status.Revision >= status.Revision {
 		return false
 	}
@@ -167,14 +166,18 @@
 	if !ok {
 		return Preference{}
 	}
+	preference := Preference{Withdrawn: r.versions.withdrawn()}
 	if r.order.Target == "" {
-		return Preference{Withdrawn: r.withdrawn}
+		return preference
 	}
 	target := r.order.Target
-	preference := Preference{Withdrawn: r.withdrawnTargets("")}
 	elapsedFraction := r.elapsedFraction(now)
 	switch state := r.state(); {
 	case state == StateRolledBack:
+		// This instance may have found the version bad before the rollback is recorded.
+		if !slices.Contains(preference.Withdrawn, target) {
+			preference.Withdrawn = append(preference.Withdrawn, target)
+		}
 	case state == StateCompleted ||
 		sessionPosition(service, target, session) < t.schedule.newVersionFraction(elapsedFraction, sessionless):
 		preference.Use = target
@@ -194,20 +197,6 @@
 	return float64(now.Sub(r.started)) / float64(r.order.Duration)
 }
 
-// MarkWithdrawn records a version that was rolled back before this instance started.
-func (t *Table) MarkWithdrawn(service, version string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	r, ok := t.migrations[service]
-	if !ok {
-		r = &serviceMigration{}
-		t.migrations[service] = r
-	}
-	if !slices.Contains(r.withdrawn, version) && r.order.Target != version {
-		r.withdrawn = append(r.withdrawn, version)
-	}
-}
-
 // Observe counts an answer of a version. The latency is the time until the answer began. Class groups requests of similar
 // length.
 func (t *Table) Observe(service, version, class string, bad bool, latency time.Duration) {
--- /dev/null
+++ b/internal/migration/withdrawn.go
@@ -0,0 +1,61 @@
+package migration
+
+import (
+	"maps"
+	"slices"
+)
+
+// VersionRecord is the last known event of a software version: the order of it, its completion or its rollback. Revisions come from one
+// counter of the store, so of two records of a version the one with the higher revision is the later event.
+type VersionRecord struct {
+	Version  string
+	Revision int64
+	// Withdrawn is set if the event is a rollback. The version must not serve any requests until it is ordered again.
+	Withdrawn bool
+}
+
+// supersedes reports whether the record replaces another one of the same version. A rollback that is not yet recorded has the revision of
+// its order and replaces it.
+func (v VersionRecord) supersedes(other VersionRecord) bool {
+	if v.Revision != other.Revision {
+		return v.Revision > other.Revision
+	}
+	return v.Withdrawn && !other.Withdrawn
+}
+
+// versionRecords holds the last record of each version of a service. Adding records in any order gives the same result.
+type versionRecords map[string]VersionRecord
+
+func (r versionRecords) add(record VersionRecord) {
+	if known, ok := r[record.Version]; !ok || record.supersedes(known) {
+		r[record.Version] = record
+	}
+}
+
+// withdrawn returns the withdrawn versions in alphabetical order.
+func (r versionRecords) withdrawn() []string {
+	var versions []string
+	for _, record := range r {
+		if record.Withdrawn {
+			versions = append(versions, record.Version)
+		}
+	}
+	slices.Sort(versions)
+	return versions
+}
+
+// all returns the records in the order of their versions.
+func (r versionRecords) all() []VersionRecord {
+	records := make([]VersionRecord, 0, len(r))
+	for _, version := range slices.Sorted(maps.Keys(r)) {
+		records = append(records, r[version])
+	}
+	return records
+}
+
+// AddVersionRecord adds an event of a version of a service that another instance recorded.
+func (t *Table) AddVersionRecord(service string, record VersionRecord) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.migration(service).versions.add(record)
+}
