Refuse a request as not run only if no server has run it

Cause: the field mayHaveRun answered two questions. An answer of low confidence that is dropped for a larger model may be requested once more, so the field stayed unset; if no server then accepted the larger model, the final refusal read it as not run. The refusal now counts every run, and the permission for one more run has a field of its own.

An answer is also dropped only if some server accepts the request for the larger model at that moment. Otherwise the caller gets the answer of the smaller model instead of an error.

--- a/internal/gateway/finish.go
+++ b/internal/gateway/finish.go
@@ -40,19 +40,22 @@
 	return cause.Error()
 }
 
+// mayHaveRun reports whether a server may have run the request. That includes a run whose answer was dropped for a larger model.
+func (r *requestJob) mayHaveRun() bool { return r.executions > 0 }
+
 // finalRefusal returns the error for a request that got no answer. It states whether a server may have run the request.
 func (r *requestJob) finalRefusal() *fault.Error {
 	switch {
-	case r.hold.Held && r.mayHaveRun:
+	case r.hold.Held && r.mayHaveRun():
 		return fault.Unknown(fault.StepChoose, fault.CodePromptHeld, heldMessage)
 	case r.hold.Held:
 		return fault.NotRun(fault.StepChoose, fault.CodePromptHeld, heldMessage).WithRetryAfter(r.hold.RetryAfter)
 	}
 	deadlinePassed := r.ctx.Err() != nil
 	switch {
-	case r.mayHaveRun && deadlinePassed:
+	case r.mayHaveRun() && deadlinePassed:
 		return fault.Unknown(fault.StepDispatch, fault.CodeDeadlineExceeded, "no answer before the deadline")
-	case r.mayHaveRun:
+	case r.mayHaveRun():
 		return fault.Unknown(fault.StepDispatch, fault.CodeBackendServerFailed, "the backend server did not return a complete answer")
 	case deadlinePassed:
 		return fault.NotRun(fault.StepChoose, fault.CodeDeadlineExceeded,
--- a/internal/gateway/models.go
+++ b/internal/gateway/models.go
@@ -204,7 +204,7 @@
 	if reply.Confidence < 0 || reply.Confidence >= threshold {
 		return false
 	}
-	if r.executions >= r.route.MaxAttempts || !r.gateway.RetryBudget.Spend(r.service.Name, escalationBudgetFraction, now) {
+	if r.executions >= r.route.MaxAttempts || !r.serverAccepts(largest, now) || !r.gateway.RetryBudget.Spend(r.service.Name, escalationBudgetFraction, now) {
 		return false
 	}
 	r.retryBudgetSpent = true
@@ -212,3 +212,10 @@
 	r.triedServers = nil
 	return true
 }
+
+// serverAccepts reports whether some server may run the request with the model now. An answer of low confidence serves the caller better
+// than none.
+func (r *requestJob) serverAccepts(model string, now time.Time) bool {
+	query := r.serverQuery(model)
+	return r.chooseServer(r.gateway.Directory.Candidates(query, now), query, nil, now).Found
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -13,7 +13,6 @@
 	"github.com/cicadawall/cicadawall/internal/backend"
 	"github.com/cicadawall/cicadawall/internal/crashguard"
 	"github.com/cicadawall/cicadawall/internal/fault"
-	"github.com/cicadawall/cicadawall/internal/migration"
 	"github.com/cicadawall/cicadawall/internal/routing"
 )
 
@@ -61,8 +60,9 @@
 	triedServers   []string
 	// refusedBy are the servers that refused the request without running it.
 	refusedBy []string
-	// mayHaveRun is set once a server may have run the request although no complete answer arrived.
-	mayHaveRun bool
+	// outcomeUnknown is set once a server may have run the request although no complete answer arrived. Answers that were dropped for a
+	// larger model do not set it, so that the request may run once more.
+	outcomeUnknown bool
 	// serverFailure is the last failure that a server returned, serverFailureBody its body.
 	serverFailure     *Reply
 	serverFailureBody []byte
@@ -172,10 +172,9 @@
 		r.finishUnanswered()
 		return nil, false
 	}
-	query := backend.Query{Service: r.service.Name, Model: r.model, Prompt: r.request.Prompt, MaxInFlight: r.maxInFlight()}
+	query := r.serverQuery(r.model)
 	candidates := r.gateway.Directory.Candidates(query, now)
-	preference := r.gateway.Versions.Choose(r.service.Name, r.request.sessionID(), len(r.request.Prompt) == 0, now)
-	choice := r.chooseServer(candidates, preference, now)
+	choice := r.chooseServer(candidates, query, r.triedServers, now)
 	if !choice.Found {
 		r.backoff = routing.ShortestBackoff(candidates, now)
 		r.finishUnanswered()
@@ -194,27 +193,33 @@
 	return server, true
 }
 
+// serverQuery describes the servers that may run the request with the model.
+func (r *requestJob) serverQuery(model string) backend.Query {
+	return backend.Query{Service: r.service.Name, Model: model, Prompt: r.request.Prompt, MaxInFlight: r.maxInFlight()}
+}
+
 // chooseServer applies the routing policy. If no server is eligible it also considers, step by step, servers that were tried
 // before, ejected servers, and servers of another version.
-func (r *requestJob) chooseServer(candidates []routing.Candidate, preference migration.Preference, now time.Time) routing.Choice {
+func (r *requestJob) chooseServer(candidates []routing.Candidate, query backend.Query, tried []string, now time.Time) routing.Choice {
+	preference := r.gateway.Versions.Choose(r.service.Name, r.request.sessionID(), len(r.request.Prompt) == 0, now)
 	policy := routing.PlainPolicy()
 	if r.route.HasPrompt {
 		policy = routing.PromptPolicy()
 	}
 	request := routing.Request{
-		Zone: r.gateway.AvailabilityZone, Exclude: r.triedServers, RequiredSoftware: preference.Use, ExcludedSoftware: preference.Withdrawn,
+		Zone: r.gateway.AvailabilityZone, Exclude: tried, RequiredSoftware: preference.Use, ExcludedSoftware: preference.Withdrawn,
 		PromptTokens: backend.PromptTokens(r.request.Prompt),
 	}
 	if preference.Avoid != "" {
 		request.ExcludedSoftware = append(slices.Clone(request.ExcludedSoftware), preference.Avoid)
 	}
 	if r.route.HasPrompt {
-		from, to := r.gateway.models.serverRange(r.service, r.model, now)
+		from, to := r.gateway.models.serverRange(r.service, query.Model, now)
 		policy.MarkPartition(candidates, request, from, to, now)
-		backend.MarkHomeServer(candidates, r.model, r.request.Prompt)
+		backend.MarkHomeServer(candidates, query.Model, r.request.Prompt)
 	}
 	choice, _ := policy.Choose(candidates, request, now, r.rng)
-	if !choice.Found && len(r.triedServers) > 0 {
+	if !choice.Found && len(tried) > 0 {
 		request.Exclude = nil
 		choice, _ = policy.Choose(candidates, request, now, r.rng)
 	}
@@ -304,7 +309,7 @@
 		"kept_connection", staleConnection, "shared_parts", crashguard.SharedParts(r.request.Prompt), "error", err.Error())
 	if sent {
 		r.executions++
-		r.mayHaveRun = true
+		r.outcomeUnknown = true
 		if r.route.HasPrompt && !staleConnection {
 			r.gateway.models.observeFirstEvent(r.service, r.model, time.Since(r.attemptStart), time.Now())
 		}
@@ -340,7 +345,7 @@
 	r.observeVersion(server, "", true, 0)
 	r.log("backend server ran the request and reported a failure", "server", server.Entry.ID, "whole", err == nil)
 	if err != nil {
-		r.mayHaveRun = true
+		r.outcomeUnknown = true
 		return r.retryOrFinish(false)
 	}
 	r.serverFailure, r.serverFailureBody = reply, body
@@ -357,7 +362,7 @@
 		if r.ctx.Err() == nil {
 			r.observeVersion(server, "", true, 0)
 		}
-		r.mayHaveRun = true
+		r.outcomeUnknown = true
 		r.log("answer of the backend server could not be read completely", "server", server.Entry.ID, "error", err.Error())
 		return r.retryOrFinish(false)
 	}
@@ -370,7 +375,7 @@
 // retryOrFinish reports whether another attempt may follow, and ends the request if not. A request that must run at most once
 // is repeated only if no server can have run it; notRun says that the last attempt did not run.
 func (r *requestJob) retryOrFinish(notRun bool) bool {
-	if notRun && !r.mayHaveRun || r.route.Repeatable() {
+	if notRun && !r.outcomeUnknown || r.route.Repeatable() {
 		return true
 	}
 	r.finishUnanswered()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -111,7 +111,7 @@
 	if !requestEnded {
 		r.observeVersion(server, "", true, 0)
 	}
-	r.mayHaveRun = true
+	r.outcomeUnknown = true
 	r.log("stream of the backend server was interrupted", "server", server.Entry.ID, "after", r.lastEventID, "deliveries", delivered,
 		"shared_parts", crashguard.SharedParts(r.request.Prompt), "error", err.Error())
 	return r.retryOrFinish(false)
