Complete a roll-out only on evidence about the new version

Completion is final: the old servers stop.

Cause: a migration completed when its time had come and the comparison of the versions found nothing wrong. Counts of answers live in memory, so the first process to start after a loss of power had none, found nothing and completed; a service with few requests gives too few answers even without a restart.

Completion now needs 25 answers of the new version, of which no doubtful number is bad, and some of each main class. A good version of a service with few requests may miss its deadline.

TestGoodVersionIsCompletedInTime took it for granted that a version without any answer completes; it now has the least number of answers.

--- a/internal/migration/decide.go
+++ b/internal/migration/decide.go
@@ -55,7 +55,7 @@
 	case r.suspect:
 		decision.Status.State = StateRolledBack
 	case t.schedule.mayComplete(decision.ElapsedFraction) &&
-		(finding != findingUncertain || decision.OrderAge > r.order.Duration+uncertaintyGracePeriod):
+		(finding == findingNone || finding == findingUncertain && decision.OrderAge > r.order.Duration+uncertaintyGracePeriod):
 		decision.Status.State = StateCompleted
 	case r.statusIsForOrder():
 		return Decision{}, false
@@ -106,7 +106,9 @@
 	switch {
 	case bad || start.significant() || pace.significant() || lightlyLoaded && idleStart.significantUnderLightLoad():
 		return newCount, oldCount, findingBad
-	case start.uncertain() || pace.uncertain():
+	case tooFewAnswers(newByClass) || mayHaveMoreBadAnswers(newCount, oldCount):
+		return newCount, oldCount, findingInsufficient
+	case start.uncertain() || pace.uncertain() || classUncertain(newByClass, oldByClass):
 		return newCount, oldCount, findingUncertain
 	default:
 		return newCount, oldCount, findingNone
--- a/internal/migration/evidence.go
+++ b/internal/migration/evidence.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strings"
 	"time"
 )
 
@@ -44,6 +45,15 @@
 	// minLogVariance is the smallest assumed variance of a logarithm, so that equal times do not make a small shift
 	// significant.
 	minLogVariance = 0.05
+	// minCompletionAnswers is the number of answers of the new version below which a migration does not complete. Of so many answers of a
+	// version that fails three in ten, at most two are bad in one of a hundred cases; three leave a doubt (doubtLevel).
+	minCompletionAnswers = 25
+	// doubtLevel is the probability, under the old version's rate of bad answers, below which bad answers delay the completion.
+	doubtLevel = 0.05
+	// minClassAnswers is the number of answers of the new version in a class below which the class delays the completion, if the class
+	// has at least mainClassFraction of the old versions' answers. A version may fail in one class only.
+	minClassAnswers   = 8
+	mainClassFraction = 0.2
 	// minOldAnswers is the number of answers of the old versions below which a class is not compared.
 	minOldAnswers = 15
 )
@@ -53,7 +63,11 @@
 
 const (
 	findingNone finding = iota
+	// findingUncertain delays the completion for a limited time.
 	findingUncertain
+	// findingInsufficient delays the completion until there is more evidence: after it the old version's servers stop, so that a bad
+	// version can no longer be rolled back.
+	findingInsufficient
 	findingBad
 )
 
@@ -104,6 +118,42 @@
 	return badRateIncreased(newCount.Bad, newCount.Answers, oldCount.Bad, oldCount.Answers)
 }
 
+// mayHaveMoreBadAnswers reports whether the new version has so many bad answers that it is doubtful that they are chance.
+func mayHaveMoreBadAnswers(newCount, oldCount Count) bool {
+	return newCount.Bad >= 2 && badRateBelow(doubtLevel, newCount.Bad, newCount.Answers, oldCount.Bad, oldCount.Answers)
+}
+
+// tooFewAnswers reports whether the answers of the new version are too few to complete a migration.
+func tooFewAnswers(newByClass map[string]Count) bool {
+	return requestCount(newByClass) < minCompletionAnswers
+}
+
+// classUncertain reports whether a class has a doubtful number of bad answers, or a main class too few answers.
+func classUncertain(newByClass, oldByClass map[string]Count) bool {
+	total := float64(requestCount(oldByClass))
+	for class, count := range oldByClass {
+		isMain := isRequestClass(class) && float64(count.Answers) >= max(minOldAnswers, mainClassFraction*total)
+		if isMain && newByClass[class].Answers < minClassAnswers || mayHaveMoreBadAnswers(newByClass[class], count) {
+			return true
+		}
+	}
+	return false
+}
+
+// isRequestClass reports whether each request counts once in the class. The classes on the pace count streams again.
+func isRequestClass(class string) bool { return !strings.HasSuffix(class, PaceClassSuffix) }
+
+// requestCount returns the number of answered requests.
+func requestCount(byClass map[string]Count) int {
+	requests := 0
+	for class, count := range byClass {
+		if isRequestClass(class) {
+			requests += count.Answers
+		}
+	}
+	return requests
+}
+
 // slowdown accumulates, over classes, how much longer the answers of a new version take than those of the old one. It sums
 // the differences of the logarithms and their variances.
 type slowdown struct{ answers, logShift, logVariance float64 }
@@ -149,17 +199,18 @@
 	return d.answers >= minNewAnswers && d.logShift/d.answers > shift && d.logShift/math.Sqrt(d.logVariance) > score
 }
 
-// badRateIncreased reports whether the probability of as many bad answers, under the old rate plus baseBadRate, is below the
-// significance level.
+// badRateIncreased reports whether the new version has more bad answers than chance explains.
 func badRateIncreased(bad, answers, oldBad, oldAnswers int) bool {
-	if bad < minBadAnswers {
-		return false
-	}
+	return bad >= minBadAnswers && badRateBelow(significanceLevel, bad, answers, oldBad, oldAnswers)
+}
+
+// badRateBelow reports whether the probability of as many bad answers, under the old rate plus baseBadRate, is below the level.
+func badRateBelow(level float64, bad, answers, oldBad, oldAnswers int) bool {
 	rate := baseBadRate
 	if oldAnswers > 0 {
 		rate += float64(oldBad) / float64(oldAnswers)
 	}
-	return binomialTail(bad, answers, min(rate, 0.9)) < significanceLevel
+	return binomialTail(bad, answers, min(rate, 0.9)) < level
 }
 
 // binomialTail returns the probability of at least k of n independent events with probability p each.
--- a/internal/migration/migration_test.go
+++ b/internal/migration/migration_test.go
@@ -170,6 +170,8 @@
 		orderedAt := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 		table.AddOrder(Order{Service: "s", Target: "v2", Duration: duration, Revision: 1}, 0, orderedAt.Add(learnt))
 		table.ApplyStatus(Status{Service: "s", Target: "v2", State: StateRunning, Revision: 2})
+		observeAnswers(table, "v1", 200, 100*time.Millisecond)
+		observeAnswers(table, "v2", minCompletionAnswers, 100*time.Millisecond)
 		last := orderedAt.Add(duration - write)
 		if decisions := table.Decide(last); len(decisions) != 1 || decisions[0].Status.State != StateCompleted {
 			t.Errorf("exposure %g: not completed by the deadline: %+v", exposure, decisions)
@@ -326,3 +328,60 @@
 		t.Errorf("decisions are %+v, want the migration to go on", decisions)
 	}
 }
+
+// Guards against a bad version that is completed for want of evidence, after which it cannot be rolled back (review case 4, EXPOSURE): an
+// instance that has just started, or a service with few requests, has seen no bad answer because it has seen no answers.
+func TestMigrationDoesNotCompleteWithoutEvidence(t *testing.T) {
+	for name, c := range map[string]struct {
+		answers, bad int
+		want         State
+	}{
+		"no answers":              {0, 0, ""},
+		"few answers":             {minCompletionAnswers - 1, 0, ""},
+		"doubtful answers":        {minCompletionAnswers, 3, ""},
+		"enough good answers":     {minCompletionAnswers, 0, StateCompleted},
+		"two of many are bad":     {100, 2, StateCompleted},
+		"too many of few are bad": {minCompletionAnswers - 1, 8, StateRolledBack},
+	} {
+		table := NewTable(0.15)
+		table.AddOrder(ordered("v2", 10), 0, origin)
+		table.ApplyStatus(Status{Service: service, Target: "v2", State: StateRunning, Revision: 11})
+		for n := range c.answers {
+			table.Observe(service, "v2", "buy/", n < c.bad, 100*time.Millisecond)
+		}
+		for _, after := range []time.Duration{20 * time.Second, time.Minute, time.Hour} {
+			got := State("")
+			if decisions := table.Decide(origin.Add(after)); len(decisions) == 1 {
+				got = decisions[0].Status.State
+			}
+			if got != c.want {
+				t.Errorf("%s, %s after the order: state %q, want %q", name, after, got, c.want)
+			}
+		}
+	}
+}
+
+// Guards against a version that fails in one class only and is completed before that class was tried.
+func TestMigrationWaitsForMainClasses(t *testing.T) {
+	table := NewTable(0.15)
+	table.AddOrder(ordered("v2", 10), 0, origin)
+	for n := range 200 {
+		class := "buy/"
+		if n%3 == 0 {
+			class = "look/"
+		}
+		table.Observe(service, "v1", class, false, 100*time.Millisecond)
+	}
+	for range 2 * minCompletionAnswers {
+		table.Observe(service, "v2", "buy/", false, 100*time.Millisecond)
+	}
+	if decisions := table.Decide(origin.Add(20 * time.Second)); len(decisions) != 1 || decisions[0].Status.State != StateRunning {
+		t.Errorf("decisions without answers in one class: %+v, want running", decisions)
+	}
+	for range minClassAnswers {
+		table.Observe(service, "v2", "look/", false, 100*time.Millisecond)
+	}
+	if decisions := table.Decide(origin.Add(20 * time.Second)); len(decisions) != 1 || decisions[0].Status.State != StateCompleted {
+		t.Errorf("decisions with answers in all main classes: %+v, want completed", decisions)
+	}
+}
--- a/internal/migration/withdrawn_test.go
+++ b/internal/migration/withdrawn_test.go
@@ -11,7 +11,9 @@
 // version was ordered again and completed. The peers' reports and the instance's own events arrive in any order.
 func TestOldRollbackDoesNotReturn(t *testing.T) {
 	events := []func(table *Table){
-		func(table *Table) { table.AddVersionRecord(service, VersionRecord{Version: "v2", Revision: 11, Withdrawn: true}) },
+		func(table *Table) {
+			table.AddVersionRecord(service, VersionRecord{Version: "v2", Revision: 11, Withdrawn: true})
+		},
 		func(table *Table) { table.AddOrder(ordered("v2", 20), 0, origin) },
 		func(table *Table) {
 			table.ApplyStatus(Status{Service: service, Target: "v2", State: StateCompleted, Revision: 25})
