Hold requests whose prompts crash servers before the head or after the first event

Cause: the first event of an answer cleared the parts of its prompt, and a server that ended after it, or before the head, was no evidence. Only an end between the head and the first event counted.

An answer now clears its parts when it is complete or goes on for 250 ms after its first event, and the end of its server before that is a crash, also in a resumed answer. An end before the head counts with three fifths of the weight, because it happens to every request that waits at the server.

--- a/internal/api/peer.gen.go
+++ b/internal/api/peer.gen.go
@@ -212,11 +212,14 @@
 	Version    string `json:"version" yaml:"version"`
 }
 
-// GatewayCrash End of a backend server while it began to answer a request.
+// GatewayCrash End of a backend server while it began to answer a request, or while a request waited for its answer.
 type GatewayCrash struct {
 	// AgeMillis Time since the crash in milliseconds.
 	AgeMillis int64 `json:"ageMillis" yaml:"ageMillis"`
 
+	// BeforeAnswer Whether the backend server ended before it had begun to answer this request.
+	BeforeAnswer bool `json:"beforeAnswer,omitempty" yaml:"beforeAnswer,omitempty"`
+
 	// Parts Shared parts of the prompt that no backend server has answered since.
 	Parts   []string `json:"parts,omitempty" yaml:"parts,omitempty"`
 	Request string   `json:"request" yaml:"request"`
--- a/internal/crashguard/attempt.go
+++ b/internal/crashguard/attempt.go
@@ -6,7 +6,11 @@
 	"github.com/cicadawall/cicadawall/internal/backend"
 )
 
-// Attempt is an attempt of a request with a prompt at a server, until its first event.
+// SurvivalTime is how long an answer must go on after its first event to show that its prompt does not crash servers: several events of a
+// stream. A server that ends later most likely ends for another reason, and the streams that it was working on are no evidence.
+const SurvivalTime = 250 * time.Millisecond
+
+// Attempt is an attempt of a request with a prompt at a server, until its answer has survived for SurvivalTime.
 type Attempt struct {
 	table   *Table
 	service string
@@ -31,19 +35,25 @@
 	return attempt
 }
 
-// Answered records that the first event of the answer arrived.
-func (a *Attempt) Answered(now time.Time) {
+// Begun records that the first event of the answer arrived. From then on the attempt is not cancelled, because its caller has a part of
+// the answer.
+func (a *Attempt) Begun() { a.End() }
+
+// Survived records that the answer is complete or went on for SurvivalTime after its first event.
+func (a *Attempt) Survived(now time.Time) {
 	a.End()
 	if len(a.parts) > 0 {
 		a.table.recordAnswer(a.service, a.parts, now)
 	}
 }
 
-// Crashed records that the server broke off the answer after it had begun and before its first event.
-func (a *Attempt) Crashed(now time.Time) {
+// Crashed records that the server ended before the answer had survived. BeforeAnswer says that it had not begun to answer.
+func (a *Attempt) Crashed(beforeAnswer bool, now time.Time) {
 	a.End()
 	if len(a.parts) > 0 {
-		a.table.Merge([]Crash{{Service: a.service, Server: a.server, Request: a.request, Parts: a.parts, At: now}}, now)
+		a.table.Merge([]Crash{{
+			Service: a.service, Server: a.server, Request: a.request, Parts: a.parts, At: now, BeforeAnswer: beforeAnswer,
+		}}, now)
 	}
 }
 
--- a/internal/crashguard/hold.go
+++ b/internal/crashguard/hold.go
@@ -1,5 +1,5 @@
-// Package crashguard keeps requests away from backend servers that they would crash. Each server that ends while it begins an answer is
-// evidence against the parts of the request's prompt; answers with a part are evidence for it. Requests with a part that has crashed
+// Package crashguard keeps requests away from backend servers that they would crash. Each server that ends while it begins an answer, or
+// while a request waits for one, is evidence against the parts of the request's prompt; answers with a part are evidence for it. Requests with a part that has crashed
 // several servers are held: they reach no server until a trial shows that the part has become harmless. The evidence is that of all
 // instances; merging it in any order gives the same result.
 package crashguard
@@ -11,8 +11,14 @@
 )
 
 const (
-	// minCrashes is the number of separate crashes after which requests are held.
+	// minCrashes is the number of separate crashes after which requests are held, if the servers had begun to answer.
 	minCrashes = 3
+	// crashWeight and earlyCrashWeight are the weights of a crash after and before the server had begun to answer the request; minWeight is
+	// the sum from which requests are held. All requests that wait at a server break off before their answers when it ends, so five such
+	// crashes are needed.
+	crashWeight      = 5
+	earlyCrashWeight = 3
+	minWeight        = minCrashes * crashWeight
 	// minRequests and minServers are the numbers of different requests and server processes among them: a single request may crash servers by
 	// its own content, and a single server may be faulty.
 	minRequests = 2
@@ -30,7 +36,7 @@
 	crashRetention = 15 * time.Minute
 )
 
-// Crash is the end of a server process while it began to answer a request.
+// Crash is the end of a server process while it began to answer a request, or while the request waited for its answer.
 type Crash struct {
 	Service string
 	// Server identifies the server process, Request the request.
@@ -39,6 +45,15 @@
 	// Parts are the parts of the prompt that other requests may share and that no server has answered since.
 	Parts []string
 	At    time.Time
+	// BeforeAnswer is set if the server had not begun to answer this request.
+	BeforeAnswer bool
+}
+
+func (c Crash) weight() int {
+	if c.BeforeAnswer {
+		return earlyCrashWeight
+	}
+	return crashWeight
 }
 
 // Hold keeps the requests of a service from its servers whose prompts contain all of the parts.
@@ -53,7 +68,7 @@
 	Until time.Time
 }
 
-// holds returns the holds that follow from the crashes of one service. The part with the most separate crashes explains those; what
+// holds returns the holds that follow from the crashes of one service. The part with the strongest evidence explains its crashes; what
 // remains is examined in the same way, so that a part that was only beside a harmful one is not held.
 func holds(service string, crashes []Crash) []Hold {
 	var found []Hold
@@ -62,28 +77,32 @@
 		return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.Server, b.Server), cmp.Compare(a.Request, b.Request))
 	})
 	for {
-		part, separate := mostCrashes(remaining)
-		if separate < minCrashes {
+		part, evidence := strongestEvidence(remaining)
+		if evidence.weight < minWeight {
 			return found
 		}
 		with := crashesWith(remaining, part)
 		last := with[len(with)-1].At
 		found = append(found, Hold{
-			Service: service, Parts: commonParts(with), Crashes: separate, LastCrash: last, Until: last.Add(holdTime(separate)),
+			Service: service, Parts: commonParts(with), Crashes: evidence.crashes, LastCrash: last,
+			Until: last.Add(holdTime(evidence.weight / crashWeight)),
 		})
 		remaining = slices.DeleteFunc(remaining, func(c Crash) bool { return slices.Contains(c.Parts, part) })
 	}
 }
 
-// mostCrashes returns the part with the most separate crashes, and of several such parts the first in alphabetical order, so that all
-// instances decide alike.
-func mostCrashes(crashes []Crash) (part string, separate int) {
+// evidence is the number of separate crashes with a part and the sum of their weights.
+type evidence struct{ crashes, weight int }
+
+// strongestEvidence returns the part with the largest weight of separate crashes, and of several such parts the first in alphabetical
+// order, so that all instances decide alike.
+func strongestEvidence(crashes []Crash) (part string, strongest evidence) {
 	for _, candidate := range distinctParts(crashes) {
-		if n := separateCrashes(crashesWith(crashes, candidate)); n > separate {
-			part, separate = candidate, n
+		if e := separateCrashes(crashesWith(crashes, candidate)); e.weight > strongest.weight {
+			part, strongest = candidate, e
 		}
 	}
-	return part, separate
+	return part, strongest
 }
 
 // distinctParts returns the parts of the crashes in alphabetical order.
@@ -108,25 +127,33 @@
 }
 
 // separateCrashes counts the crashes that are minCrashSpacing apart, and minRestartTime if they are of the same process; the crashes are
-// ordered by time. It returns zero if they come from fewer than minRequests requests or minServers processes.
-func separateCrashes(crashes []Crash) int {
-	requests, lastOfServer := map[string]bool{}, map[string]time.Time{}
-	count, last := 0, time.Time{}
+// ordered by time. Each has the largest weight of those that belong to it. The result is zero if they come from fewer than minRequests
+// requests or minServers processes.
+func separateCrashes(crashes []Crash) evidence {
+	requests, lastOfServer := map[string]bool{}, map[string]int{}
+	var starts []time.Time
+	var weights []int
 	for _, crash := range crashes {
 		requests[crash.Request] = true
-		previous, again := lastOfServer[crash.Server]
-		if again && crash.At.Sub(previous) < minRestartTime {
-			continue
-		}
-		if count == 0 || crash.At.Sub(last) >= minCrashSpacing {
-			count, last = count+1, crash.At
-			lastOfServer[crash.Server] = crash.At
+		separate, again := lastOfServer[crash.Server]
+		if !again || crash.At.Sub(starts[separate]) >= minRestartTime {
+			separate = len(starts) - 1
+			if separate < 0 || crash.At.Sub(starts[separate]) >= minCrashSpacing {
+				starts, weights = append(starts, crash.At), append(weights, 0)
+				separate++
+				lastOfServer[crash.Server] = separate
+			}
 		}
+		weights[separate] = max(weights[separate], crash.weight())
 	}
 	if len(requests) < minRequests || len(lastOfServer) < minServers {
-		return 0
+		return evidence{}
+	}
+	result := evidence{crashes: len(starts)}
+	for _, weight := range weights {
+		result.weight += weight
 	}
-	return count
+	return result
 }
 
 // commonParts returns the parts that all crashes have.
@@ -139,7 +166,7 @@
 	return slices.Compact(common)
 }
 
-// holdTime returns how long requests are held after a number of separate crashes.
+// holdTime returns how long requests are held after a number of separate crashes of full weight.
 func holdTime(crashes int) time.Duration {
 	return min(maxHoldTime, minHoldTime<<min(10, max(0, crashes-minCrashes)))
 }
--- a/internal/crashguard/hold_test.go
+++ b/internal/crashguard/hold_test.go
@@ -79,3 +79,26 @@
 		}
 	}
 }
+
+// Guards against a hold of a sound part because its requests waited at a few servers that ended, and against a part that is never held
+// because its servers end before they begin to answer.
+func TestCrashesBeforeAnswerWeighLess(t *testing.T) {
+	early := func(millis int, request string) Crash {
+		crash := crashAt(millis, request, "bad")
+		crash.BeforeAnswer = true
+		return crash
+	}
+	crashes := []Crash{early(0, "a"), early(500, "b"), early(1000, "c"), early(1500, "d")}
+	if found := holds("desk", crashes); found != nil {
+		t.Errorf("held after %d crashes before an answer: %+v", len(crashes), found)
+	}
+	if found := holds("desk", append(crashes, early(2000, "e"))); len(found) != 1 || found[0].Until != found[0].LastCrash.Add(minHoldTime) {
+		t.Errorf("after one more: %+v, want a hold of %s", found, minHoldTime)
+	}
+	bystander := early(400, "waiting")
+	bystander.Server = crashAt(410, "").Server
+	mixed := []Crash{crashAt(0, "a", "bad"), bystander, crashAt(410, "b", "bad"), crashAt(900, "c", "bad")}
+	if found := holds("desk", mixed); len(found) != 1 || found[0].Crashes != 3 {
+		t.Errorf("with a request that waited at one of the servers: %+v, want a hold after 3 crashes", found)
+	}
+}
--- a/internal/crashguard/table.go
+++ b/internal/crashguard/table.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"maps"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cicadawall/cicadawall/internal/backend"
@@ -198,8 +199,9 @@
 	if ok && known.At.Before(crash.At) {
 		crash.At = known.At
 	}
+	crash.BeforeAnswer = crash.BeforeAnswer && (!ok || known.BeforeAnswer)
 	t.crashes[key] = crash
-	return !ok || len(known.Parts) != len(crash.Parts) || !known.At.Equal(crash.At)
+	return !ok || known.BeforeAnswer != crash.BeforeAnswer || len(known.Parts) != len(crash.Parts) || !known.At.Equal(crash.At)
 }
 
 // finishChange derives the holds again if the crashes changed, releases the lock, cancels the waiting attempts that are held now, and logs
@@ -273,7 +275,7 @@
 	digest := int64(0)
 	for _, crash := range t.crashes {
 		hash := fnv.New64a()
-		for _, text := range append([]string{crash.Service, crash.Server, crash.Request}, crash.Parts...) {
+		for _, text := range append([]string{crash.Service, crash.Server, crash.Request, strconv.FormatBool(crash.BeforeAnswer)}, crash.Parts...) {
 			_, _ = hash.Write([]byte(text))
 			_, _ = hash.Write([]byte{0})
 		}
--- a/internal/crashguard/table_test.go
+++ b/internal/crashguard/table_test.go
@@ -70,12 +70,12 @@
 func TestTrialDecidesOnTheHold(t *testing.T) {
 	table, last := crashingTable(true)
 	trial := table.Begin("desk", "next", "trial", promptOf("bad"), true, func() { t.Error("the trial is cancelled") })
-	trial.Crashed(last.Add(minHoldTime))
+	trial.Crashed(false, last.Add(minHoldTime))
 	if verdict := table.Check("desk", promptOf("bad"), false, last.Add(2*minHoldTime)); !verdict.Held {
 		t.Errorf("after a trial that crashed a server: %+v", verdict)
 	}
 	trial = table.Begin("desk", "another", "second trial", promptOf("bad"), true, func() { t.Error("the trial is cancelled") })
-	trial.Answered(last.Add(4 * minHoldTime))
+	trial.Survived(last.Add(4 * minHoldTime))
 	if table.Check("desk", promptOf("bad"), false, last.Add(4*minHoldTime)).Held || len(table.Holds()) > 0 {
 		t.Error("held after an answer")
 	}
@@ -114,8 +114,8 @@
 			prompt = append(prompt, backend.PromptPart{ID: strconv.Itoa(n) + "-" + strconv.Itoa(part)})
 		}
 		now := time.Unix(int64(n), 0)
-		table.Begin("desk", strconv.Itoa(n), strconv.Itoa(n), prompt, false, nil).Crashed(now)
-		table.Begin("desk", "s", strconv.Itoa(n), prompt, false, nil).Answered(now.Add(time.Millisecond))
+		table.Begin("desk", strconv.Itoa(n), strconv.Itoa(n), prompt, false, nil).Crashed(false, now)
+		table.Begin("desk", "s", strconv.Itoa(n), prompt, false, nil).Survived(now.Add(time.Millisecond))
 	}
 	crashes := table.Crashes(time.Time{})
 	if len(crashes) > maxCrashes || len(table.answered) > maxAnsweredParts+maxParts {
--- a/internal/exchange/crashes.go
+++ b/internal/exchange/crashes.go
@@ -22,6 +22,7 @@
 	for _, c := range reported {
 		crashes = append(crashes, crashguard.Crash{
 			Service: c.Service, Server: c.Server, Request: c.Request, Parts: c.Parts, At: now.Add(-time.Duration(c.AgeMillis) * time.Millisecond),
+			BeforeAnswer: c.BeforeAnswer,
 		})
 	}
 	e.Crashes.Merge(crashes, now)
@@ -33,7 +34,7 @@
 	for _, crash := range crashes {
 		encoded = append(encoded, api.GatewayCrash{
 			Service: crash.Service, Server: crash.Server, Request: crash.Request, Parts: crash.Parts,
-			AgeMillis: max(0, now.Sub(crash.At).Milliseconds()),
+			AgeMillis: max(0, now.Sub(crash.At).Milliseconds()), BeforeAnswer: crash.BeforeAnswer,
 		})
 	}
 	return encoded
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -199,7 +199,7 @@
 		for i, node := range nodes[:5] {
 			now := time.Now()
 			prompt := []backend.PromptPart{{ID: "bad"}, {ID: "own"}}
-			node.Crashes.Begin("desk", "server-"+strconv.Itoa(i), "request-"+strconv.Itoa(i), prompt, false, nil).Crashed(now)
+			node.Crashes.Begin("desk", "server-"+strconv.Itoa(i), "request-"+strconv.Itoa(i), prompt, false, nil).Crashed(false, now)
 			<-time.After(300 * time.Millisecond)
 		}
 		for range reactionRounds {
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -27,20 +27,35 @@
 	return r.hold.Held
 }
 
-// watchForCrash watches the current attempt until its first event.
+// watchForCrash watches the current attempt until its answer has survived.
 func (r *requestJob) watchForCrash(server *backend.Attempt, cancel context.CancelCauseFunc) *crashguard.Attempt {
 	process := server.Entry.ID + "@" + strconv.FormatInt(server.Entry.StartedUnixMillis, 10)
 	return r.gateway.Crashes.Begin(r.service.Name, process, r.request.ID, r.request.Prompt, r.hold.Trial, func() { cancel(errPromptHeld) })
 }
 
-// recordCrash records that the server ended after it had begun an answer and before the first event. A request that was answered
-// before is harmless.
+// recordCrash records that the server ended after it had begun an answer and before the answer had survived.
 func (r *requestJob) recordCrash() {
-	if r.lastEventID != "" {
+	if r.survived {
 		return
 	}
 	r.crashes++
-	r.watched.Crashed(time.Now())
+	r.watched.Crashed(false, time.Now())
+}
+
+// recordEarlyCrash records that the server ended before it had begun an answer. Most requests to which this happens only waited at a server
+// that ended for another reason, so it does not keep the request from further servers.
+func (r *requestJob) recordEarlyCrash() {
+	if !r.survived {
+		r.watched.Crashed(true, time.Now())
+	}
+}
+
+// recordSurvival records that an answer to the request does not crash its server.
+func (r *requestJob) recordSurvival() {
+	if !r.survived {
+		r.survived = true
+		r.watched.Survived(time.Now())
+	}
 }
 
 // requestEnded reports whether an attempt failed because its request ended or is held, which says nothing about the server.
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -25,9 +25,20 @@
 	maxLateCrashRequests = 3
 )
 
+// crashMoment is the moment at which a server ends that answers a prompt with crashingPart.
+type crashMoment int
+
+const (
+	crashBeforeHead crashMoment = iota
+	crashAfterHead
+	// crashAfterEvent is some milliseconds after one event, also if an answer is resumed.
+	crashAfterEvent
+)
+
 // crashingBackends answers every prompt, but a server ends when it begins to answer one with crashingPart: all requests that it works
 // on break off, and for some seconds it accepts no connections.
 type crashingBackends struct {
+	moment     crashMoment
 	mu         sync.Mutex
 	downUntil  map[string]time.Time
 	ended      map[string]chan struct{}
@@ -35,8 +46,8 @@
 	crashSends []time.Time
 }
 
-func newCrashingBackends() *crashingBackends {
-	return &crashingBackends{downUntil: map[string]time.Time{}, ended: map[string]chan struct{}{}}
+func newCrashingBackends(moment crashMoment) *crashingBackends {
+	return &crashingBackends{moment: moment, downUntil: map[string]time.Time{}, ended: map[string]chan struct{}{}}
 }
 
 func hasPart(prompt []backend.PromptPart, id string) bool {
@@ -86,10 +97,14 @@
 	select {
 	case <-time.After(200 * time.Millisecond):
 	case <-ended:
-		return nil, &SendError{Sent: true, Cause: io.ErrUnexpectedEOF}
+		return nil, &SendError{Sent: true, ServerClosed: true, Cause: io.ErrUnexpectedEOF}
 	case <-ctx.Done():
 		return nil, &SendError{Sent: true, Cause: ctx.Err()}
 	}
+	if b.moment == crashBeforeHead && hasPart(attempt.Request.Prompt, crashingPart) {
+		b.crash(attempt.Server.ID)
+		return nil, &SendError{Sent: true, ServerClosed: true, Cause: io.ErrUnexpectedEOF}
+	}
 	return &Reply{Confidence: 100, IsEventStream: true, Body: &crashingBody{backends: b, attempt: attempt, ended: ended}}, nil
 }
 
@@ -113,7 +128,7 @@
 	case <-b.ended:
 		return Event{}, io.ErrUnexpectedEOF
 	}
-	if hasPart(b.attempt.Request.Prompt, crashingPart) {
+	if hasPart(b.attempt.Request.Prompt, crashingPart) && (b.backends.moment == crashAfterHead || b.next > 0) {
 		b.backends.crash(b.attempt.Server.ID)
 		return Event{}, io.ErrUnexpectedEOF
 	}
@@ -159,10 +174,18 @@
 
 const anyTestModel = "*"
 
-// Guards against requests with one part in their prompts that end one server after the other.
+// Guards against requests with one part in their prompts that end one server after the other, whether a server ends before the head of its
+// answer, after it, or after the first event (review case 5, BUDGET).
 func TestCrashingPromptIsKeptFromServers(t *testing.T) {
+	for name, moment := range map[string]crashMoment{
+		"before the head": crashBeforeHead, "after the head": crashAfterHead, "after an event": crashAfterEvent,
+	} {
+		t.Run(name, func(t *testing.T) { checkCrashingPromptIsHeld(t, newCrashingBackends(moment)) })
+	}
+}
+
+func checkCrashingPromptIsHeld(t *testing.T, backends *crashingBackends) {
 	synctest.Test(t, func(t *testing.T) {
-		backends := newCrashingBackends()
 		g := newGateway(12, backends, slog.New(slog.NewJSONHandler(io.Discard, nil)))
 		defer g.Stop()
 		var requests sync.WaitGroup
--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -116,6 +116,8 @@
 type SendError struct {
 	// Sent is false if no byte was written to the server.
 	Sent bool
+	// ServerClosed is true if the server closed or reset the connection.
+	ServerClosed bool
 	// ReusedConnection is true if the connection had served an earlier request.
 	ReusedConnection bool
 	Cause            error
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -70,12 +70,14 @@
 	newConnection bool
 	// backoff is the time until the first server wants requests again, if no server was eligible because all asked for a backoff.
 	backoff time.Duration
-	// crashes counts the attempts whose server may have ended because it began to answer the request.
+	// crashes counts the attempts whose server may have ended because it answered the request.
 	crashes int
 	// hold says whether the request may be sent to a server, as of the last check.
 	hold crashguard.Verdict
-	// watched is the current attempt as it is watched for crashes.
-	watched *crashguard.Attempt
+	// watched is the current attempt as it is watched for crashes. survived is set once an answer has shown that the request crashes no
+	// server.
+	watched  *crashguard.Attempt
+	survived bool
 	// retryBudgetSpent is set if the retry budget has already been charged for the next attempt.
 	retryBudgetSpent bool
 
@@ -316,6 +318,10 @@
 		if !requestEnded && !staleConnection {
 			r.observeVersion(server, "", true, 0)
 		}
+		// A server that accepts no more connections resets new ones at once.
+		if !requestEnded && failed != nil && failed.ServerClosed && time.Since(r.attemptStart) >= staleConnectionTimeout {
+			r.recordEarlyCrash()
+		}
 	}
 	r.newConnection = staleConnection
 	return r.retryOrFinish(!sent)
@@ -361,12 +367,14 @@
 		server.End(backend.ResultFailure, time.Now())
 		if r.ctx.Err() == nil {
 			r.observeVersion(server, "", true, 0)
+			r.recordCrash()
 		}
 		r.outcomeUnknown = true
 		r.log("answer of the backend server could not be read completely", "server", server.Entry.ID, "error", err.Error())
 		return r.retryOrFinish(false)
 	}
 	server.End(backend.ResultSuccess, time.Now())
+	r.recordSurvival()
 	r.observeVersion(server, "", false, r.answerStart.Sub(r.attemptStart))
 	r.recordDelivery(r.caller.Answer(reply, body))
 	return false
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -38,16 +38,21 @@
 	r.recordAnswerWork(firstAt)
 	timer := r.startGapTimer(cancel)
 	defer timer.stop()
-	answered := false
+	var firstEventAt time.Time
 	for delivered := 1; ; delivered++ {
 		event, err := reply.Body.Next()
+		now := time.Now()
+		if !firstEventAt.IsZero() && now.Sub(firstEventAt) >= crashguard.SurvivalTime {
+			r.recordSurvival()
+		}
 		if err == io.EOF && r.headSent {
-			server.End(backend.ResultSuccess, time.Now())
+			r.recordSurvival()
+			server.End(backend.ResultSuccess, now)
 			r.recordDelivery(nil)
 			return false
 		}
 		if err != nil {
-			if !answered && ctx.Err() == nil {
+			if ctx.Err() == nil {
 				r.recordCrash()
 			}
 			return r.handleBrokenStream(ctx, server, delivered-1, err)
@@ -55,9 +60,9 @@
 		if event.LastID != "" {
 			// Bytes without an event, such as comments, are no progress.
 			timer.reset()
-			if !answered {
-				answered = true
-				r.watched.Answered(time.Now())
+			if firstEventAt.IsZero() {
+				firstEventAt = now
+				r.watched.Begun()
 			}
 		}
 		if err := r.relayEvent(reply, event, firstAt); err != nil {
--- a/internal/httpconn/exchange.go
+++ b/internal/httpconn/exchange.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -60,6 +61,11 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Cause }
 
+// PeerClosed reports whether the peer closed or reset the connection before its answer.
+func (e *Error) PeerClosed() bool {
+	return errors.Is(e.Cause, io.EOF) || errors.Is(e.Cause, io.ErrUnexpectedEOF) || errors.Is(e.Cause, syscall.ECONNRESET)
+}
+
 // Response is an answer whose body has not been read yet. The reader must call Close, which returns the connection to the pool
 // only if the body was read to its end.
 type Response struct {
