--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -195,57 +195,6 @@
 	return server, true
 }
 
-// serverQuery describes the servers that may run the request with the model.
-func (r *requestJob) serverQuery(model string) backend.Query {
-	return backend.Query{Service: r.service.Name, Model: model, Prompt: r.request.Prompt, MaxInFlight: r.maxInFlight()}
-}
-
-// chooseServer applies the routing policy. If no server is eligible it also considers, step by step, servers that were tried
-// before, ejected servers, and servers of another version.
-func (r *requestJob) chooseServer(candidates []routing.Candidate, query backend.Query, tried []string, now time.Time) routing.Choice {
-	preference := r.gateway.Versions.Choose(r.service.Name, r.request.sessionID(), len(r.request.Prompt) == 0, now)
-	policy := routing.PlainPolicy()
-	if r.route.HasPrompt {
-		policy = routing.PromptPolicy()
-	}
-	request := routing.Request{
-		Zone: r.gateway.AvailabilityZone, Exclude: tried, RequiredSoftware: preference.Use, ExcludedSoftware: preference.Withdrawn,
-		PromptTokens: backend.PromptTokens(r.request.Prompt),
-	}
-	if preference.Avoid != "" {
-		request.ExcludedSoftware = append(slices.Clone(request.ExcludedSoftware), preference.Avoid)
-	}
-	if r.route.HasPrompt {
-		from, to := r.gateway.models.serverRange(r.service, query.Model, now)
-		policy.MarkPartition(candidates, request, from, to, now)
-		backend.MarkHomeServer(candidates, query.Model, r.request.Prompt)
-	}
-	choice, _ := policy.Choose(candidates, request, now, r.rng)
-	if !choice.Found && len(tried) > 0 {
-		request.Exclude = nil
-		choice, _ = policy.Choose(candidates, request, now, r.rng)
-	}
-	if !choice.Found {
-		for i := range candidates {
-			candidates[i].EjectedUntil = time.Time{}
-		}
-		choice, _ = policy.Choose(candidates, request, now, r.rng)
-	}
-	if !choice.Found && (preference.Use != "" || preference.Avoid != "") {
-		request.RequiredSoftware, request.ExcludedSoftware = "", preference.Withdrawn
-		choice, _ = policy.Choose(candidates, request, now, r.rng)
-	}
-	return choice
-}
-
-// maxInFlight returns this instance's share of a server's connections, doubled because the load on instances is uneven.
-func (r *requestJob) maxInFlight() int {
-	if r.service.MaxConnections == 0 {
-		return 0
-	}
-	return max(2, 2*r.service.MaxConnections/max(2, r.gateway.InstanceCount()))
-}
-
 // mayRetry reports whether the deadline, the limits on attempts and the retry budget allow another attempt.
 func (r *requestJob) mayRetry(now time.Time) bool {
 	if r.ctx.Err() != nil || r.sentAttempts >= maxSentAttempts || r.unsentAttempts >= maxUnsentAttempts {
