Bound the memory of all buffered messages together

Operators of similar systems reported that a faulty server's bytes without end filled the memory of the process that had called it, and ended the requests of all its callers.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"io"
@@ -15,6 +16,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/cicadawall/cicadawall/internal/api"
+	"github.com/cicadawall/cicadawall/internal/buffer"
 	"github.com/cicadawall/cicadawall/internal/httpsend"
 )
 
@@ -41,6 +43,9 @@
 	maxErrorBodyBytes = 16 << 10
 	// maxAnswerBytes bounds an answer that is not streamed.
 	maxAnswerBytes = 8 << 20
+	// defaultBufferBytes is the default memory for responses that are being read. A faulty server may send bytes without end to each of the
+	// requests that it works on.
+	defaultBufferBytes = 64 << 20
 )
 
 // Options configures a Client or a PlainClient. Zero values take the defaults.
@@ -50,12 +55,15 @@
 	MaxConnsPerServer int
 	// DialTimeout bounds the connection set-up; default 1 s.
 	DialTimeout time.Duration
+	// BufferBytes bounds the memory of all responses that are being read until they are complete; default 64 MB.
+	BufferBytes int64
 }
 
 // Client sends requests to model engines, which are addressed by IP:port.
 type Client struct {
 	completions *httpsend.Sender
 	admin       *httpsend.Sender
+	buffers     *buffer.Budget
 }
 
 // NewClient returns a client that can call any number of engines.
@@ -66,6 +74,7 @@
 	return &Client{
 		completions: httpsend.New(httpsend.Options{DialTimeout: options.DialTimeout, MaxConnsPerHost: options.MaxConnsPerServer}),
 		admin:       httpsend.New(httpsend.Options{DialTimeout: options.DialTimeout, MaxConnsPerHost: maxAdminConns}),
+		buffers:     buffer.NewBudget(cmp.Or(options.BufferBytes, defaultBufferBytes)),
 	}
 }
 
@@ -108,7 +117,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	answer := Answer{Load: parseLoadHeader(response.Header, time.Now())}
-	body, err := readBody(response.Body, maxAnswerBytes)
+	body, err := readAnswer(c.buffers, response.Body, maxAnswerBytes)
 	if err != nil {
 		return Answer{}, bodyError(operation, address, response, err)
 	}
@@ -182,6 +191,18 @@
 	return data, nil
 }
 
+// readAnswer reads the whole body of an answer. A body longer than maxBytes, or than the memory for buffers allows now, is
+// errResponseTooLarge.
+func readAnswer(buffers *buffer.Budget, body io.Reader, maxBytes int) ([]byte, error) {
+	memory := buffers.NewReservation()
+	defer memory.Release()
+	data, err := memory.ReadAll(body, maxBytes)
+	if errors.Is(err, buffer.ErrTooLong) || errors.Is(err, buffer.ErrFull) {
+		return nil, errResponseTooLarge
+	}
+	return data, err
+}
+
 // bodyError returns the Error for a response whose body could not be read.
 func bodyError(operation, address string, response *http.Response, err error) *Error {
 	kind := KindInterrupted
--- a/internal/engine/plain.go
+++ b/internal/engine/plain.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"strconv"
@@ -10,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/cicadawall/cicadawall/internal/api"
+	"github.com/cicadawall/cicadawall/internal/buffer"
 	"github.com/cicadawall/cicadawall/internal/httpsend"
 )
 
@@ -26,6 +28,7 @@
 type PlainClient struct {
 	readSender  *httpsend.Sender
 	writeSender *httpsend.Sender
+	buffers     *buffer.Budget
 }
 
 // NewPlainClient returns a client that can call any number of servers. GET and HEAD calls use pooled connections. Every other
@@ -38,7 +41,10 @@
 	pooled := httpsend.Options{DialTimeout: options.DialTimeout, MaxConnsPerHost: options.MaxConnsPerServer}
 	unpooled := pooled
 	unpooled.NewConnectionPerRequest = true
-	return &PlainClient{readSender: httpsend.New(pooled), writeSender: httpsend.New(unpooled)}
+	return &PlainClient{
+		readSender: httpsend.New(pooled), writeSender: httpsend.New(unpooled),
+		buffers: buffer.NewBudget(cmp.Or(options.BufferBytes, defaultBufferBytes)),
+	}
 }
 
 // Close closes idle connections.
@@ -89,7 +95,7 @@
 		return PlainResponse{}, sendError(plainOperation, address, err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := readBody(response.Body, maxServiceResponseBytes)
+	body, err := readAnswer(p.buffers, response.Body, maxServiceResponseBytes)
 	if err != nil {
 		return PlainResponse{}, bodyError(plainOperation, address, response, err)
 	}
--- a/internal/engine/plain_test.go
+++ b/internal/engine/plain_test.go
@@ -83,3 +83,34 @@
 		}
 	}
 }
+
+// Guards against a faulty server whose bytes without end fill the memory although each response is bounded, and against a bound that is
+// charged for ever.
+func TestEndlessResponsesShareMemory(t *testing.T) {
+	const bufferBytes, rounds = 1 << 20, 20
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		block := []byte(strings.Repeat("x", 64<<10))
+		for r.URL.Path == "/endless" {
+			if _, err := w.Write(block); err != nil {
+				return
+			}
+		}
+		_, _ = w.Write([]byte("short"))
+	}))
+	defer server.Close()
+	client := NewPlainClient(Options{BufferBytes: bufferBytes})
+	defer client.Close()
+	address := strings.TrimPrefix(server.URL, "http://")
+	for range rounds {
+		_, err := client.Call(t.Context(), address, PlainRequest{Method: http.MethodGet, Path: "/endless"})
+		if failure := asEngineError(t, err); failure.Kind != KindMalformed {
+			t.Fatalf("error %v, want %v", failure, KindMalformed)
+		}
+		if used := client.buffers.Used(); used != 0 {
+			t.Fatalf("%d bytes are still reserved", used)
+		}
+	}
+	if response, err := client.Call(t.Context(), address, PlainRequest{Method: http.MethodGet, Path: "/short"}); err != nil || string(response.Body) != "short" {
+		t.Errorf("short response afterwards: %+v, %v", response, err)
+	}
+}
