Do not deliver an answer without events in the middle of a stream

Operators of similar systems reported a next server's error in the middle of a stream that had broken off, or a stream that ended as if it were complete. Errors, refusals and lost answers were kept from the caller here; a success without events was not: its body went into the stream, which then looked complete.

Cause: the content type alone decided whether an answer is relayed as a stream. Once a stream has begun, an answer without events now counts as a broken attempt.

TestOnlyEventsContinueStream failed before.

--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -163,6 +163,9 @@
 		return r.relayStream(ctx, server, reply, cancel)
 	}
 	defer stopTimer()
+	if r.headSent {
+		return r.handleAnswerWithoutEvents(server)
+	}
 	return r.deliverAnswer(server, reply)
 }
 
@@ -307,6 +310,17 @@
 	return r.retryOrFinish(false)
 }
 
+// handleAnswerWithoutEvents records an answer without events to a request whose stream has begun at another server: it does not continue the
+// stream. It reports whether another attempt may follow.
+func (r *requestJob) handleAnswerWithoutEvents(server *backend.Attempt) bool {
+	r.executions++
+	r.outcomeUnknown = true
+	server.End(backend.ResultFailure, time.Now())
+	r.observeVersion(server, "", true, 0)
+	r.log("backend server answered the rest of a stream without events", "server", server.Entry.ID, "after", r.lastEventID)
+	return r.retryOrFinish(false)
+}
+
 // deliverAnswer reads a complete answer and sends it to the caller. It reports whether another attempt may follow because the
 // answer was cut off.
 func (r *requestJob) deliverAnswer(server *backend.Attempt, reply *Reply) bool {
