Answer requests that a planned stop cancels, and pass none on too late

Cause: the check was made before the body was read, and at the end the connections were closed before the handlers could answer. The check is repeated; a request that no server has run is refused if it could not be answered before the stop; at the end requests are cancelled, answered, and only then the connections are closed.

--- a/internal/e2e/fleet_stop_test.go
+++ b/internal/e2e/fleet_stop_test.go
@@ -1,14 +1,19 @@
 package e2e
 
 import (
+	"bufio"
 	"errors"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/cicadawall/cicadawall/internal/standin/modelserver"
 )
 
 const (
@@ -54,6 +59,51 @@
 	}
 }
 
+// Guards against requests that a planned stop cuts off without an answer: an order that a server is still working on at the end of the grace
+// period, and one whose body arrives so late that it would be passed on and then cut off.
+func TestFleetStopAnswersLateRequests(t *testing.T) {
+	f := newFleetWithGracePeriod(t, 1, 3)
+	i := f.instances[0]
+	for _, server := range f.servers {
+		server.SetFault(modelserver.FaultMute, -1)
+	}
+	running := make(chan reply, 1)
+	go func() { running <- f.send(i, http.MethodPost, "/buy/x", "running") }()
+	eventually(t, startTimeout, "the order runs", func() bool { return len(f.runsOf("running")) > 0 })
+
+	slow, err := net.Dial("tcp4", i.callerAddress)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = slow.Close() }()
+	head := "POST /buy/x HTTP/1.1\r\nHost: " + fleetHost + "\r\nCicadawall-Request-Id: slow\r\nCicadawall-Request-Deadline: 5000\r\n" +
+		"Authorization: Bearer " + fleetKey + "\r\nContent-Length: 4\r\n\r\n"
+	if _, err := io.WriteString(slow, head+"bod"); err != nil {
+		t.Fatal(err)
+	}
+	i.process.signal(syscall.SIGTERM)
+	eventually(t, startTimeout, "the instance takes no new connections", func() bool {
+		conn, err := net.Dial("tcp4", i.callerAddress)
+		if err == nil {
+			_ = conn.Close()
+		}
+		return err != nil
+	})
+	if _, err := io.WriteString(slow, "y"); err != nil {
+		t.Error(err)
+	}
+	if response, err := http.ReadResponse(bufio.NewReader(slow), nil); err != nil || response.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("answer to the request whose body came late: %+v, %v", response, err)
+	}
+	if got := <-running; got.err != nil || got.status != http.StatusBadGateway {
+		t.Errorf("answer to the order that was cancelled: %+v, want status 502", got)
+	}
+	if len(f.runsOf("slow")) > 0 {
+		t.Error("the request whose body came late was passed on")
+	}
+	i.process.waitForExit(startTimeout)
+}
+
 // callUntil sends requests of each kind in turn until stopped, on kept connections or on a new one each.
 func (f *fleet) callUntil(i *fleetInstance, stopped *atomic.Bool, outcomes *stopOutcomes, prefix string, kept bool) {
 	caller := *i
--- a/internal/e2e/fleet_world_test.go
+++ b/internal/e2e/fleet_world_test.go
@@ -61,11 +61,18 @@
 	servers         []*fleetServer
 	instances       []*fleetInstance
 	manifestVersion int64
+	// gracePeriodSeconds is the grace period in the settings of instances that are started from now on.
+	gracePeriodSeconds int
 }
 
 func newFleet(t *testing.T, instances int) *fleet {
 	t.Helper()
-	f := &fleet{t: t, dir: t.TempDir(), store: rowstore.New()}
+	return newFleetWithGracePeriod(t, instances, 8)
+}
+
+func newFleetWithGracePeriod(t *testing.T, instances, seconds int) *fleet {
+	t.Helper()
+	f := &fleet{t: t, dir: t.TempDir(), store: rowstore.New(), gracePeriodSeconds: seconds}
 	storeServer := httptest.NewServer(f.store.Handler())
 	t.Cleanup(storeServer.CloseClientConnections)
 	f.storeAddress = storeServer.Listener.Addr().String()
@@ -144,7 +151,7 @@
 	}
 	text := strings.Join([]string{
 		"NodeName=" + name, "Zone=zone-a", "ListenAddresses.Front=" + i.callerAddress, "ListenAddresses.Ready=" + i.readinessAddress,
-		"ListenAddresses.Control=" + freeAddress(f.t), "Platform.Address=" + i.storeProxy.address(), "Bounds.GracePeriodS=8",
+		"ListenAddresses.Control=" + freeAddress(f.t), "Platform.Address=" + i.storeProxy.address(), fmt.Sprintf("Bounds.GracePeriodS=%d", f.gracePeriodSeconds),
 		"Bounds.RetryBudgetRatio=0.9", "Bounds.RetryBudgetSlack=50", "Bounds.BudgetWindowS=10", "Bounds.ExposureShare=0.15",
 		"Limits.MemoryMb=284", "Something.New=1", "",
 	}, "\n")
--- a/internal/gateway/finish.go
+++ b/internal/gateway/finish.go
@@ -53,6 +53,10 @@
 	}
 	deadlinePassed := r.ctx.Err() != nil
 	switch {
+	case errors.Is(context.Cause(r.ctx), errStopping) && r.mayHaveRun():
+		return fault.Unknown(fault.StepDrain, fault.CodeDraining, "the instance stopped before the answer was complete")
+	case errors.Is(context.Cause(r.ctx), errStopping):
+		return DrainingRefusal()
 	case r.mayHaveRun() && deadlinePassed:
 		return fault.Unknown(fault.StepDispatch, fault.CodeDeadlineExceeded, "no answer before the deadline")
 	case r.mayHaveRun():
@@ -70,6 +74,11 @@
 	}
 }
 
+// DrainingRefusal returns the error for a request that no server has run because the instance stops. Other instances accept it at once.
+func DrainingRefusal() *fault.Error {
+	return fault.NotRun(fault.StepDrain, fault.CodeDraining, "the instance is shutting down").WithRetryAfter(drainRetryAfter)
+}
+
 // refuse answers the caller with an error of this instance.
 func (r *requestJob) refuse(refusal *fault.Error) {
 	r.log("error response returned to the caller", "step", refusal.Step, "code", refusal.Code, "outcome", refusal.Outcome,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -6,6 +6,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/cicadawall/cicadawall/internal/admission"
@@ -24,10 +25,16 @@
 	maxQueuedRequests = 256
 	// refusalRetryAfter is the Retry-After time when no server accepts a request: about the time until a server has a free slot.
 	refusalRetryAfter = 300 * time.Millisecond
+	// drainRetryAfter is the Retry-After time of an instance that shuts down. It is short because other instances accept the request at
+	// once.
+	drainRetryAfter = 20 * time.Millisecond
 	// startupRetryAfter is the Retry-After time until a configuration is loaded; an instance starts in about a second.
 	startupRetryAfter = 1 * time.Second
 )
 
+// processStart is the origin of times that are stored as numbers, so that they use the monotonic clock.
+var processStart = time.Now()
+
 // VersionSelector chooses between the software versions of a service during a roll-out.
 type VersionSelector interface {
 	// Choose returns the preferred version for a request of a session. Requests without a prompt are sessionless: their session
@@ -57,6 +64,9 @@
 	queue  *admission.Queue
 	pool   *worker.Pool
 	models *modelTable
+	// stopAt is the time at which requests still in flight are cancelled, in nanoseconds since the start of the process; zero while no stop
+	// is planned.
+	stopAt atomic.Int64
 }
 
 // New returns a gateway with running workers.
@@ -65,7 +75,18 @@
 	return &Gateway{Options: options, queue: queue, pool: worker.NewPool(Workers, queue), models: newModelTable()}
 }
 
-// Stop ends the workers; requests still in flight are aborted.
+// StopAt announces that the instance stops at the time. A request that no server has run yet and that would not be answered by then is
+// refused, so that its caller can turn to another instance at once.
+func (g *Gateway) StopAt(at time.Time) { g.stopAt.Store(int64(at.Sub(processStart))) }
+
+// timeToStop returns the time until the instance stops, and whether a stop is planned.
+func (g *Gateway) timeToStop(now time.Time) (time.Duration, bool) {
+	at := g.stopAt.Load()
+	return processStart.Add(time.Duration(at)).Sub(now), at != 0
+}
+
+// Stop ends the workers. Requests still in flight are cancelled and answered: as not run, or without a statement if a server may have run
+// them.
 func (g *Gateway) Stop() {
 	g.queue.Close()
 	g.pool.Stop()
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -173,6 +173,10 @@
 // eligible.
 func (r *requestJob) startAttempt() (*backend.Attempt, bool) {
 	now := time.Now()
+	if !r.mayHaveRun() && r.endsAfterStop(now) {
+		r.refuse(DrainingRefusal())
+		return nil, false
+	}
 	if r.isHeld(now) || r.sentAttempts+r.unsentAttempts > 0 && !r.mayRetry(now) {
 		r.finishUnanswered()
 		return nil, false
@@ -198,6 +202,12 @@
 	return server, true
 }
 
+// endsAfterStop reports whether the instance stops before a server could answer, which for a stream means before its first event.
+func (r *requestJob) endsAfterStop(now time.Time) bool {
+	left, stopping := r.gateway.timeToStop(now)
+	return stopping && left < max(minAttemptTime, r.route.TargetLatency)
+}
+
 // mayRetry reports whether the deadline, the limits on attempts and the retry budget allow another attempt.
 func (r *requestJob) mayRetry(now time.Time) bool {
 	if r.ctx.Err() != nil || r.sentAttempts >= maxSentAttempts || r.unsentAttempts >= maxUnsentAttempts {
