Do not count requests of earlier windows in the shared retry budget

Cause: a request is counted at its arrival, and a time of more than a window before the first counted one has a negative slot number. A request of an earlier window also took the place of a newer slot. Both are now left out.

--- a/internal/retry/shared.go
+++ b/internal/retry/shared.go
@@ -61,11 +61,14 @@
 	b.options.Ratio, b.options.Slack = options.Ratio, options.Slack
 }
 
-// CountRequest counts a new request for the service.
-func (b *SharedBudget) CountRequest(service string, now time.Time) {
+// CountRequest counts a request for the service that arrived at the time. One that arrived more than a window ago, because its body took
+// that long, is not counted.
+func (b *SharedBudget) CountRequest(service string, arrived time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.slot(service, now).requests++
+	if slot := b.slot(service, arrived); slot != nil {
+		slot.requests++
+	}
 }
 
 // Spend takes one extra arrival from the budget of the service. It returns false if the budget is exhausted. The fraction,
@@ -78,13 +81,14 @@
 	current := b.slot(service, now)
 	requests, extra := b.windowTotals(service, now)
 	allowed := sharedRatioFraction*b.options.Ratio*float64(requests) + b.options.Slack/float64(instances)
-	if float64(extra+1) > fraction*allowed {
+	if current == nil || float64(extra+1) > fraction*allowed {
 		return false
 	}
 	current.extraArrivals++
 	return true
 }
 
+// slotNumber returns the number of the slot of a time. It is negative for a time of more than a window before the first one counted.
 func (b *SharedBudget) slotNumber(now time.Time) int64 {
 	if b.origin.IsZero() {
 		b.origin = now.Add(-b.options.Window)
@@ -92,6 +96,7 @@
 	return int64(now.Sub(b.origin) / max(1, b.options.Window/sharedSlotCount))
 }
 
+// slot returns the slot of a time, or nil if the time is so old that its slot is not kept any more.
 func (b *SharedBudget) slot(service string, now time.Time) *sharedSlot {
 	row, ok := b.rows[service]
 	if !ok {
@@ -99,7 +104,13 @@
 		b.rows[service] = row
 	}
 	number := b.slotNumber(now)
+	if number < 0 {
+		return nil
+	}
 	s := &row[number%sharedSlotCount]
+	if s.number > number {
+		return nil
+	}
 	if s.number != number {
 		*s = sharedSlot{number: number}
 	}
--- a/internal/retry/shared_test.go
+++ b/internal/retry/shared_test.go
@@ -46,6 +46,34 @@
 	}
 }
 
+// Guards against a panic when the first request that is counted arrived more recently than one whose body took longer than the window
+// (review case 2, LOST: the process ended), and against such a request that takes the place of newer counts.
+func TestSharedBudgetIgnoresRequestsOfEarlierWindows(t *testing.T) {
+	const window = 10 * time.Second
+	budget := NewSharedBudget(SharedBudgetOptions{Ratio: 1, Window: window, Instances: func() int { return 1 }})
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	for range 100 {
+		budget.CountRequest("desk", now)
+	}
+	for _, age := range []time.Duration{window + window/sharedSlotCount, window + time.Second, 2 * window, time.Hour} {
+		budget.CountRequest("desk", now.Add(-age))
+		if requests, _ := budget.windowTotals("desk", now); requests != 100 {
+			t.Errorf("%d requests are counted after one that is %s old, want 100", requests, age)
+		}
+	}
+	later := now.Add(3 * window / 2)
+	for range 50 {
+		budget.CountRequest("desk", later)
+	}
+	budget.CountRequest("desk", later.Add(-window))
+	if requests, _ := budget.windowTotals("desk", later); requests != 50 {
+		t.Errorf("%d requests are counted after one of the window before, want 50", requests)
+	}
+	if budget.Spend("desk", 1, now.Add(-time.Hour)) {
+		t.Error("an attempt of an earlier window was allowed")
+	}
+}
+
 // Guards against optional attempts that exhaust the budget for necessary ones.
 func TestSharedBudgetReservesForNecessaryAttempts(t *testing.T) {
 	budget := NewSharedBudget(SharedBudgetOptions{Ratio: 0.5, Slack: 0, Window: 10 * time.Second, Instances: func() int { return 1 }})
