Collect evidence on versions of services with few requests in time

Since a roll-out completes only on evidence, good versions of services with few requests missed their deadlines: the trial gave them a handful of answers. Requests without a session may now also use two thirds of the exposure slack, spread over the trial and the instances, and small fleets deliver their counts in every round.

TestServiceWithFewRequestsIsTriedInTime failed before (24 answers by the deadline).

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -32,7 +32,8 @@
 	// ownersPerService is the number of instances that collect the counts of all instances for the migration of a service. There
 	// are two so that one may fail.
 	ownersPerService = 2
-	// evidenceRounds is the number of rounds between two deliveries of counts to the owners; evidence must arrive within seconds.
+	// evidenceRounds is the number of rounds between two deliveries of counts to the owners in a fleet with relays; in a smaller one it is
+	// 1. A decision shortly before the deadline needs the latest answers.
 	evidenceRounds = 2
 	// configurationTimeout is the timeout for fetching a configuration over a slow link: 1 MB takes 0.8 s at 10 Mbit/s.
 	configurationTimeout = 5 * time.Second
@@ -214,7 +215,7 @@
 		queries[address] = query
 	}
 	services := e.Migrations.RunningServices()
-	if len(services) == 0 || e.roundCount%evidenceRounds != 0 {
+	if len(services) == 0 || query.Brief && e.roundCount%evidenceRounds != 0 {
 		return queries
 	}
 	counts := e.answerCounts()
--- a/internal/migration/migration.go
+++ b/internal/migration/migration.go
@@ -49,6 +49,8 @@
 const (
 	// trialExposureFraction is the fraction of the exposure budget that is spent before the ramp.
 	trialExposureFraction = 0.15
+	// trialSlackFraction is the fraction of the exposure slack that is spent before the ramp.
+	trialSlackFraction = 2.0 / 3
 	// rampStartDistance, rampEndDistance and completionDistance are distances from the deadline, as multiples of the exposure
 	// times the duration. At the first the fraction starts to rise, at the second it is 1, and at the third the migration may
 	// complete. The last one leaves 0.8 s of a duration of 24 s at an exposure of 0.1: an order is received up to 0.3 s late, the
@@ -67,6 +69,13 @@
 // schedule gives the fraction of the sessions on the new version. The exposure is between 0 and 1.
 type schedule struct{ exposure float64 }
 
+// trialProgress returns the time since the start of the trial of sessionless requests as a fraction of the time until the ramp starts, at
+// most 1.
+func (s schedule) trialProgress(elapsedFraction float64) float64 {
+	rampStart := 1 - rampStartDistance*s.exposure
+	return min(1, (elapsedFraction-sessionlessStartFraction)/(rampStart-sessionlessStartFraction))
+}
+
 // newVersionFraction returns the fraction of the sessions on the new version after a fraction of the order's duration.
 func (s schedule) newVersionFraction(elapsedFraction float64, sessionless bool) float64 {
 	start := trialStartFraction
--- a/internal/migration/table.go
+++ b/internal/migration/table.go
@@ -25,6 +25,8 @@
 	started time.Time
 	// suspect is set once this instance or a peer found the target bad. It takes effect before the rollback is recorded.
 	suspect bool
+	// slackUsed counts the sessionless requests that this instance sent to the target in addition to the schedule.
+	slackUsed int
 	// versions says which versions are withdrawn. The backend servers of a version that was rolled back keep running for some seconds.
 	versions versionRecords
 }
@@ -32,6 +34,9 @@
 // Table holds the migrations of all services and the evidence about their versions. It is safe for concurrent use.
 type Table struct {
 	schedule schedule
+	// slack is the number of requests that a bad version may receive in addition to the schedule, shared by the instances.
+	slack     float64
+	instances func() int
 
 	mu          *lockorder.Mutex
 	migrations  map[string]*serviceMigration
@@ -61,6 +66,21 @@
 	}
 }
 
+// SetSlack allows a version on trial a number of sessionless requests in addition to the schedule, which the instances share. A service
+// with few requests would otherwise give too few answers to tell a good version from a bad one by the deadline. It must be called before the
+// table is used.
+func (t *Table) SetSlack(slack float64, instances func() int) {
+	t.slack, t.instances = slack, instances
+}
+
+// slackPerInstance returns this instance's part of the slack.
+func (t *Table) slackPerInstance() float64 {
+	if t.instances == nil {
+		return 0
+	}
+	return t.slack / float64(max(1, t.instances()))
+}
+
 // AddOrder stores an order and reports whether it is new. Age is the time since it was given.
 func (t *Table) AddOrder(order Order, age time.Duration, now time.Time) bool {
 	t.mu.Lock()
@@ -160,6 +180,7 @@
 // Choose returns which versions may serve a request. Sessionless requests belong to no session; for them, session is a key
 // that distributes the requests over the versions.
 func (t *Table) Choose(service, session string, sessionless bool, now time.Time) Preference {
+	slack := t.slackPerInstance()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r, ok := t.migrations[service]
@@ -179,7 +200,8 @@
 			preference.Withdrawn = append(preference.Withdrawn, target)
 		}
 	case state == StateCompleted ||
-		sessionPosition(service, target, session) < t.schedule.newVersionFraction(elapsedFraction, sessionless):
+		sessionPosition(service, target, session) < t.schedule.newVersionFraction(elapsedFraction, sessionless) ||
+		sessionless && r.takeSlack(slack*trialSlackFraction*t.schedule.trialProgress(elapsedFraction)):
 		preference.Use = target
 	case elapsedFraction < trialStartFraction:
 		preference.Withdrawn = append(preference.Withdrawn, target)
@@ -189,6 +211,15 @@
 	return preference
 }
 
+// takeSlack reports whether one more request may be sent to the target, if so many may be in total, and counts it.
+func (r *serviceMigration) takeSlack(allowed float64) bool {
+	if float64(r.slackUsed+1) > allowed {
+		return false
+	}
+	r.slackUsed++
+	return true
+}
+
 // elapsedFraction returns the time since the order as a fraction of its duration. It is above 1 after the deadline.
 func (r *serviceMigration) elapsedFraction(now time.Time) float64 {
 	if r.order.Duration <= 0 {
