Return to the smaller model if servers refuse the larger one

An answer of low confidence was dropped for a larger model; if servers then refused that one, the caller got an error although an answer had been in hand. After two refusals the last attempt now uses the smaller model again and accepts its answer with any confidence. TestRequestWithDroppedAnswerHasRun covers it and failed before.

--- a/internal/gateway/models.go
+++ b/internal/gateway/models.go
@@ -16,6 +16,9 @@
 	// minLateConfidence replaces minAcceptedConfidence if the answer of the largest model would certainly be late. A less certain answer
 	// in time then serves the caller better than a good one too late or never, and the servers of the largest model recover.
 	minLateConfidence = 15
+	// maxLargerRefusals is the number of servers that may refuse the larger model before the request returns to the smaller one. One more
+	// attempt is left then (maxSentAttempts).
+	maxLargerRefusals = 2
 	// onTimeRatio and lateRatio are the ratios of the expected delay of the largest model to the time left until the target at which
 	// its answer is probably in time and certainly late.
 	onTimeRatio = 0.6
@@ -185,7 +188,7 @@
 // escalate reports whether the answer is discarded because of its low confidence; the next attempt then uses the largest model.
 func (r *requestJob) escalate(server *backend.Attempt, reply *Reply) bool {
 	models := r.route.Models
-	if !r.request.AnyModel || len(models) == 0 || r.model == models[len(models)-1] {
+	if !r.request.AnyModel || len(models) == 0 || r.model == models[len(models)-1] || r.droppedModel != "" {
 		return false
 	}
 	if r.hold.Trial {
@@ -208,11 +211,25 @@
 		return false
 	}
 	r.retryBudgetSpent = true
-	r.model = largest
+	r.droppedModel, r.model = r.model, largest
 	r.triedServers = nil
 	return true
 }
 
+// returnToDroppedModel makes the next attempt use the model whose answer was dropped once several servers have refused the larger one. Its
+// answer is then accepted with any confidence: it serves the caller better than an error.
+func (r *requestJob) returnToDroppedModel() {
+	if r.droppedModel == "" || r.model == r.droppedModel {
+		return
+	}
+	r.largerRefusals++
+	if r.largerRefusals >= maxLargerRefusals {
+		r.log("larger model refused, returning to the smaller one", "model", r.droppedModel, "refusals", r.largerRefusals)
+		r.model = r.droppedModel
+		r.triedServers = nil
+	}
+}
+
 // serverAccepts reports whether some server may run the request with the model now. An answer of low confidence serves the caller better
 // than none.
 func (r *requestJob) serverAccepts(model string, now time.Time) bool {
--- a/internal/gateway/models_test.go
+++ b/internal/gateway/models_test.go
@@ -68,6 +68,10 @@
 			t.Errorf("%s: %+v, want the answer of the second server of the larger model", path, got)
 		}
 	}
+	got, backends, _ := serveRequest(t, "/draft/x", "key", uncertain, refused, refused, serverAction{confidence: 20, events: []int{1, 2, 3}})
+	if got.text != "1 2 3 " || got.refusal != nil || backends.attempts[3].Model != "small" {
+		t.Errorf("larger model refused twice: %+v, attempts %+v, want the answer of the smaller model", got, backends.attempts)
+	}
 	lost := serverAction{err: &SendError{Sent: true, Cause: errors.New("reset")}}
 	if got, backends, _ := serveRequest(t, "/draft/x", "key", uncertain, lost); got.refusal == nil ||
 		got.refusal.Outcome != api.OutcomeUnknown || len(backends.attempts) != 2 {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -82,6 +82,10 @@
 	retryBudgetSpent bool
 
 	model string
+	// droppedModel is the model whose answer was dropped for a larger one; empty if none was. largerRefusals counts the refusals of the
+	// larger model since.
+	droppedModel   string
+	largerRefusals int
 	// headSent is set once the head of an answer has been sent to the caller.
 	headSent bool
 	// lastEventID identifies the last event that was delivered to the caller.
@@ -302,6 +306,7 @@
 	}
 	server.End(result, time.Now())
 	r.log("backend server refused the attempt without running it", "server", server.Entry.ID, "moved", reply.Verdict == VerdictMisdirected)
+	r.returnToDroppedModel()
 	return r.retryOrFinish(true)
 }
 
