Do not deliver events of a stream twice if the next server starts over

A server that ignored the identifier of the last event got its events from the start into a stream that had begun. Such a stream now counts as broken off. TestOnlyEventsContinueStream has two more cases, which failed before.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -104,7 +104,7 @@
 	}
 	id := strconv.Itoa(b.action.events[b.next])
 	b.next++
-	return Event{LastID: id, Data: []byte(id + " ")}, nil
+	return Event{FirstID: id, LastID: id, Data: []byte(id + " ")}, nil
 }
 
 func (b *scriptedBody) Close() {}
--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -98,9 +98,10 @@
 
 // Event is one or more complete events of a stream.
 type Event struct {
-	// LastID is the identifier of the last event in Data; empty if it has none.
-	LastID string
-	Data   []byte
+	// FirstID and LastID are the identifiers of the first and the last event in Data that have one; empty if none has.
+	FirstID string
+	LastID  string
+	Data    []byte
 }
 
 // Body is the body of a server's answer.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -21,6 +22,9 @@
 // errGapTimeout is the cause with which an attempt is cancelled when its stream pauses for too long between two events.
 var errGapTimeout = errors.New("pause between events is too long")
 
+// errStreamRepeated is the error of a stream that does not go on after the last event that the caller got.
+var errStreamRepeated = errors.New("stream repeats events that were delivered before")
+
 // relayStream forwards the events of a stream as they arrive and reports whether the stream should resume at another server.
 func (r *requestJob) relayStream(
 	ctx context.Context, server *backend.Attempt, reply *Reply, cancel context.CancelCauseFunc,
@@ -57,6 +61,9 @@
 			}
 			return r.handleBrokenStream(ctx, server, delivered-1, err)
 		}
+		if firstEventAt.IsZero() && !continuesStream(r.lastEventID, event.FirstID) {
+			return r.handleBrokenStream(ctx, server, delivered-1, errStreamRepeated)
+		}
 		if event.LastID != "" {
 			// Bytes without an event, such as comments, are no progress.
 			timer.reset()
@@ -95,6 +102,17 @@
 	return nil
 }
 
+// continuesStream reports whether an event may follow the last one that the caller got. The identifiers of a stream are increasing numbers;
+// others cannot be compared.
+func continuesStream(last, next string) bool {
+	lastNumber, err := strconv.ParseInt(last, 10, 64)
+	if err != nil {
+		return true
+	}
+	nextNumber, err := strconv.ParseInt(next, 10, 64)
+	return err != nil || nextNumber > lastNumber
+}
+
 // recordEventTime updates the time to the first event and the longest pause after a delivery to the caller.
 func (r *requestJob) recordEventTime(now time.Time) {
 	if r.lastEventAt.IsZero() {
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -12,13 +12,15 @@
 	begun := serverAction{confidence: 90, events: []int{1, 2}, truncated: true}
 	rest := serverAction{confidence: 90, events: []int{3}}
 	for name, second := range map[string]serverAction{
-		"failure":                 {verdict: VerdictFailure, body: "failure"},
-		"failure that breaks off": {verdict: VerdictFailure, body: "failure", truncated: true},
-		"answer without events":   {confidence: 90, body: "answer"},
-		"empty answer":            {confidence: 90},
-		"refusal":                 {verdict: VerdictNotRun, body: "refusal"},
-		"other server":            {verdict: VerdictMisdirected, body: "refusal"},
-		"no answer":               {err: &SendError{Sent: true, Cause: errors.New("reset")}},
+		"failure":                  {verdict: VerdictFailure, body: "failure"},
+		"failure that breaks off":  {verdict: VerdictFailure, body: "failure", truncated: true},
+		"answer without events":    {confidence: 90, body: "answer"},
+		"empty answer":             {confidence: 90},
+		"stream from its start":    {confidence: 90, events: []int{1, 2, 3}},
+		"stream with a repetition": {confidence: 90, events: []int{2, 3}},
+		"refusal":                  {verdict: VerdictNotRun, body: "refusal"},
+		"other server":             {verdict: VerdictMisdirected, body: "refusal"},
+		"no answer":                {err: &SendError{Sent: true, Cause: errors.New("reset")}},
 	} {
 		if got, _, _ := serveRequest(t, "/chat/x", "key", begun, second, rest); got.text != "1 2 3 " || got.complete || got.aborted || got.refusal != nil {
 			t.Errorf("%s, then the rest of the stream: %+v", name, got)
