--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -48,9 +48,6 @@
 	removeAt time.Time
 	// addressReused is set once another server has answered at the address.
 	addressReused bool
-	// backoffUntil is when the server wants requests again; suspendedBefore is how long this machine had been suspended when it said so.
-	backoffUntil    time.Time
-	suspendedBefore time.Duration
 	// invalidSignal is set once the server has sent a signal that could not be understood.
 	invalidSignal bool
 	inFlight      int
@@ -66,13 +63,15 @@
 	rowsByService map[string][]*row
 	// leaving holds the processes that said in an answer that they leave, and since when this is known.
 	leaving map[Process]time.Time
-	loaded  bool
+	// backoffs holds the processes that asked to get no requests for some time.
+	backoffs map[Process]backoff
+	loaded   bool
 }
 
 // NewDirectory returns an empty table.
 func NewDirectory() *Directory {
 	return &Directory{mu: lockorder.New(lockorder.RankBackendServers), rows: map[string]*row{}, rowsByService: map[string][]*row{},
-		leaving: map[Process]time.Time{}}
+		leaving: map[Process]time.Time{}, backoffs: map[Process]backoff{}}
 }
 
 // Loaded reports whether a list of servers was read since this instance started.
@@ -224,8 +223,10 @@
 			continue
 		}
 		candidate := r.candidate(q, now)
-		_, leaving := d.leaving[r.entry.process()]
+		process := r.entry.process()
+		_, leaving := d.leaving[process]
 		candidate.Leaving = candidate.Leaving || leaving
+		candidate.BackoffUntil = d.backoffs[process].end(now)
 		candidates = append(candidates, candidate)
 	}
 	return candidates
@@ -236,7 +237,6 @@
 		ID:            r.entry.ID,
 		Zone:          r.entry.AvailabilityZone,
 		Leaving:       r.entry.Leaving || r.addressReused,
-		BackoffUntil:  r.backoffEnd(now),
 		EjectedUntil:  r.health.ejectedUntil,
 		InFlight:      r.inFlight,
 		Software:      r.entry.Software,
--- a/internal/backend/signals.go
+++ b/internal/backend/signals.go
@@ -75,20 +75,33 @@
 	return recent[:min(len(recent), maxRecentLeaving)]
 }
 
-// MarkBackoff records that the server asked to get no requests for some time.
-func (a *Attempt) MarkBackoff(wait time.Duration, now time.Time) {
-	a.directory.mu.Lock()
-	defer a.directory.mu.Unlock()
-	a.row.backoffUntil = now.Add(min(maxBackoff, wait))
-	a.row.suspendedBefore = suspend.Total()
+// backoff is the time for which a server process wants no requests.
+type backoff struct {
+	until time.Time
+	// suspendedBefore is how long this machine had been suspended when the server said so.
+	suspendedBefore time.Duration
 }
 
-// backoffEnd returns until when the server wants no requests. The time in which this machine was suspended counts.
-func (r *row) backoffEnd(now time.Time) time.Time {
-	if !now.Before(r.backoffUntil) {
+// end returns until when the server wants no requests. The time in which this machine was suspended counts.
+func (b backoff) end(now time.Time) time.Time {
+	if !now.Before(b.until) {
 		return time.Time{}
 	}
-	return r.backoffUntil.Add(r.suspendedBefore - suspend.Total())
+	return b.until.Add(b.suspendedBefore - suspend.Total())
+}
+
+// MarkBackoff records that the server asked to get no requests for some time. It holds for the process, also if its entry expires and
+// returns meanwhile.
+func (a *Attempt) MarkBackoff(wait time.Duration, now time.Time) {
+	d := a.directory
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for process, known := range d.backoffs {
+		if !now.Before(known.until) {
+			delete(d.backoffs, process)
+		}
+	}
+	d.backoffs[a.Entry.process()] = backoff{until: now.Add(min(maxBackoff, wait)), suspendedBefore: suspend.Total()}
 }
 
 // FirstInvalidSignal reports whether the server had sent no invalid signal before.
--- a/internal/backend/signals_test.go
+++ b/internal/backend/signals_test.go
@@ -86,3 +86,25 @@
 		t.Errorf("record of the server: %+v", c)
 	}
 }
+
+// Guards against requests within the time that a server asked for after its entry has expired, as during an outage of the store, and has
+// returned; and against a wait for the next process at the same address.
+func TestBackoffOutlivesEntry(t *testing.T) {
+	d := NewDirectory()
+	d.Replace([]Entry{entry("a")}, 0, now)
+	attempt := begin(t, d, "a")
+	attempt.MarkBackoff(time.Minute, now)
+	attempt.End(ResultNeutral, now)
+	backsOff := func() bool { return d.Candidates(Query{Service: "desk"}, now)[0].BackoffUntil.After(now) }
+	d.Remove("a", 0, now)
+	d.Put(entry("a"), now)
+	if !backsOff() {
+		t.Error("requests are sent again after the entry has returned")
+	}
+	restarted := entry("a")
+	restarted.StartedUnixMillis++
+	d.Put(restarted, now)
+	if backsOff() {
+		t.Error("the next process is avoided because of the one before")
+	}
+}
