--- a/internal/migration/decide.go
+++ b/internal/migration/decide.go
@@ -40,6 +40,19 @@
 	return decisions
 }
 
+// Overdue returns the number of migrations that have no final state after their deadlines.
+func (t *Table) Overdue(now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	overdue := 0
+	for _, r := range t.migrations {
+		if r.order.Target != "" && !r.finished() && now.Sub(r.started) > r.order.Duration {
+			overdue++
+		}
+	}
+	return overdue
+}
+
 func (t *Table) decide(service string, r *serviceMigration, now time.Time) (Decision, bool) {
 	lightlyLoaded := !t.schedule.mayComplete(r.elapsedFraction(now))
 	newCount, oldCount, finding := t.compare(r.order, lightlyLoaded)
