Count broken answers as crashes only on routes with prompts

Plain requests name no parts, so a broken answer says nothing about them, and two of them must not end the retries.

--- a/internal/crashguard/hold.go
+++ b/internal/crashguard/hold.go
@@ -1,7 +1,7 @@
 // Package crashguard keeps requests away from backend servers that they would crash. Each server that ends while it begins an answer, or
-// while a request waits for one, is evidence against the parts of the request's prompt; answers with a part are evidence for it. Requests with a part that has crashed
-// several servers are held: they reach no server until a trial shows that the part has become harmless. The evidence is that of all
-// instances; merging it in any order gives the same result.
+// while a request waits for one, is evidence against the parts of the request's prompt; answers with a part are evidence for it. Requests
+// with a part that has crashed several servers are held: they reach no server until a trial shows that the part has become harmless. The
+// evidence is that of all instances; merging it in any order gives the same result.
 package crashguard
 
 import (
@@ -77,15 +77,15 @@
 		return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.Server, b.Server), cmp.Compare(a.Request, b.Request))
 	})
 	for {
-		part, evidence := strongestEvidence(remaining)
-		if evidence.weight < minWeight {
+		part, strongest := strongestEvidence(remaining)
+		if strongest.weight < minWeight {
 			return found
 		}
 		with := crashesWith(remaining, part)
 		last := with[len(with)-1].At
 		found = append(found, Hold{
-			Service: service, Parts: commonParts(with), Crashes: evidence.crashes, LastCrash: last,
-			Until: last.Add(holdTime(evidence.weight / crashWeight)),
+			Service: service, Parts: commonParts(with), Crashes: strongest.crashes, LastCrash: last,
+			Until: last.Add(holdTime(strongest.weight / crashWeight)),
 		})
 		remaining = slices.DeleteFunc(remaining, func(c Crash) bool { return slices.Contains(c.Parts, part) })
 	}
--- a/internal/gateway/models.go
+++ b/internal/gateway/models.go
@@ -207,7 +207,10 @@
 	if reply.Confidence < 0 || reply.Confidence >= threshold {
 		return false
 	}
-	if r.executions >= r.route.MaxAttempts || !r.serverAccepts(largest, now) || !r.gateway.RetryBudget.Spend(r.service.Name, escalationBudgetFraction, now) {
+	if r.executions >= r.route.MaxAttempts || !r.serverAccepts(largest, now) {
+		return false
+	}
+	if !r.gateway.RetryBudget.Spend(r.service.Name, escalationBudgetFraction, now) {
 		return false
 	}
 	r.retryBudgetSpent = true
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -345,7 +345,9 @@
 		server.End(backend.ResultFailure, time.Now())
 		if r.ctx.Err() == nil {
 			r.observeVersion(server, "", true, 0)
-			r.recordCrash()
+			if r.route.HasPrompt {
+				r.recordCrash()
+			}
 		}
 		r.outcomeUnknown = true
 		r.log("answer of the backend server could not be read completely", "server", server.Entry.ID, "error", err.Error())
