Resume a stream as often as its route allows if its servers end after an event

Such an end stays evidence on the prompt; only an end before the first event keeps the request from a third server.

--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -33,12 +33,15 @@
 	return r.gateway.Crashes.Begin(r.service.Name, process, r.request.ID, r.request.Prompt, r.hold.Trial, func() { cancel(errPromptHeld) })
 }
 
-// recordCrash records that the server ended after it had begun an answer and before the answer had survived.
+// recordCrash records that the server ended after it had begun an answer and before the answer had survived. Only an end before the first
+// event keeps the request from a third server: a stream that made progress is resumed as often as its route allows.
 func (r *requestJob) recordCrash() {
 	if r.survived {
 		return
 	}
-	r.crashes++
+	if r.lastEventID == "" {
+		r.crashes++
+	}
 	r.watched.Crashed(false, time.Now())
 }
 
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -70,7 +70,7 @@
 	newConnection bool
 	// backoff is the time until the first server wants requests again, if no server was eligible because all asked for a backoff.
 	backoff time.Duration
-	// crashes counts the attempts whose server may have ended because it answered the request.
+	// crashes counts the attempts whose server may have ended because it began to answer the request.
 	crashes int
 	// hold says whether the request may be sent to a server, as of the last check.
 	hold crashguard.Verdict
