Ask only whether a server accepts the larger model, without choosing one

Before an answer is dropped for a larger model, a server was chosen as for an attempt, which sorts all servers of the service and looks up the prompt in their caches. Only the filters are needed.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -8,33 +8,28 @@
 	"github.com/cicadawall/cicadawall/internal/routing"
 )
 
-// serverQuery describes the servers that may run the request with the model.
-func (r *requestJob) serverQuery(model string) backend.Query {
-	return backend.Query{Service: r.service.Name, Model: model, Prompt: r.request.Prompt, MaxInFlight: r.maxInFlight()}
-}
-
 // chooseServer applies the routing policy. If no server is eligible it also considers, step by step, servers that were tried
 // before, ejected servers, and servers of another version.
-func (r *requestJob) chooseServer(candidates []routing.Candidate, query backend.Query, tried []string, now time.Time) routing.Choice {
+func (r *requestJob) chooseServer(candidates []routing.Candidate, now time.Time) routing.Choice {
 	preference := r.gateway.Versions.Choose(r.service.Name, r.request.sessionID(), len(r.request.Prompt) == 0, now)
 	policy := routing.PlainPolicy()
 	if r.route.HasPrompt {
 		policy = routing.PromptPolicy()
 	}
 	request := routing.Request{
-		Zone: r.gateway.AvailabilityZone, Exclude: tried, RequiredSoftware: preference.Use, ExcludedSoftware: preference.Withdrawn,
+		Zone: r.gateway.AvailabilityZone, Exclude: r.triedServers, RequiredSoftware: preference.Use, ExcludedSoftware: preference.Withdrawn,
 		PromptTokens: backend.PromptTokens(r.request.Prompt),
 	}
 	if preference.Avoid != "" {
 		request.ExcludedSoftware = append(slices.Clone(request.ExcludedSoftware), preference.Avoid)
 	}
 	if r.route.HasPrompt {
-		from, to := r.gateway.models.serverRange(r.service, query.Model, now)
+		from, to := r.gateway.models.serverRange(r.service, r.model, now)
 		policy.MarkPartition(candidates, request, from, to, now)
-		backend.MarkHomeServer(candidates, query.Model, r.request.Prompt)
+		backend.MarkHomeServer(candidates, r.model, r.request.Prompt)
 	}
 	choice, _ := policy.Choose(candidates, request, now, r.rng)
-	if !choice.Found && len(tried) > 0 {
+	if !choice.Found && len(r.triedServers) > 0 {
 		request.Exclude = nil
 		choice, _ = policy.Choose(candidates, request, now, r.rng)
 	}
--- a/internal/gateway/models.go
+++ b/internal/gateway/models.go
@@ -7,6 +7,7 @@
 
 	"github.com/cicadawall/cicadawall/internal/backend"
 	"github.com/cicadawall/cicadawall/internal/lockorder"
+	"github.com/cicadawall/cicadawall/internal/routing"
 )
 
 const (
@@ -207,7 +208,7 @@
 	if reply.Confidence < 0 || reply.Confidence >= threshold {
 		return false
 	}
-	if r.executions >= r.route.MaxAttempts || !r.serverAccepts(largest, now) {
+	if r.executions >= r.route.MaxAttempts || !r.serverAccepts(now) {
 		return false
 	}
 	if !r.gateway.RetryBudget.Spend(r.service.Name, escalationBudgetFraction, now) {
@@ -233,9 +234,14 @@
 	}
 }
 
-// serverAccepts reports whether some server may run the request with the model now. An answer of low confidence serves the caller better
-// than none.
-func (r *requestJob) serverAccepts(model string, now time.Time) bool {
-	query := r.serverQuery(model)
-	return r.chooseServer(r.gateway.Directory.Candidates(query, now), query, nil, now).Found
+// serverAccepts reports whether some server may run the request with another model now: an answer of low confidence serves the caller better
+// than none. Ejected servers and those of a version to be avoided count, because chooseServer falls back to them.
+func (r *requestJob) serverAccepts(now time.Time) bool {
+	query := backend.Query{Service: r.service.Name, MaxInFlight: r.maxInFlight()}
+	candidates := r.gateway.Directory.Candidates(query, now)
+	for i := range candidates {
+		candidates[i].EjectedUntil = time.Time{}
+	}
+	preference := r.gateway.Versions.Choose(r.service.Name, r.request.sessionID(), len(r.request.Prompt) == 0, now)
+	return routing.PromptPolicy().AnyEligible(candidates, routing.Request{ExcludedSoftware: preference.Withdrawn}, now)
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -185,9 +185,9 @@
 		r.finishUnanswered()
 		return nil, false
 	}
-	query := r.serverQuery(r.model)
+	query := backend.Query{Service: r.service.Name, Model: r.model, Prompt: r.request.Prompt, MaxInFlight: r.maxInFlight()}
 	candidates := r.gateway.Directory.Candidates(query, now)
-	choice := r.chooseServer(candidates, query, r.triedServers, now)
+	choice := r.chooseServer(candidates, now)
 	if !choice.Found {
 		r.backoff = routing.ShortestBackoff(candidates, now)
 		r.finishUnanswered()
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -4,6 +4,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cicadawall/cicadawall/internal/declaration"
@@ -190,6 +191,11 @@
 	return Choice{Server: picked.ID, Found: true, Score: score(picked), Eligible: len(eligible)}, verdicts
 }
 
+// AnyEligible reports whether some candidate passes the filters. It is cheaper than Choose, which compares the candidates.
+func (p Policy) AnyEligible(candidates []Candidate, r Request, now time.Time) bool {
+	return slices.ContainsFunc(candidates, func(c Candidate) bool { return p.dropReason(&c, &r, now) == ReasonNone })
+}
+
 func (p Policy) dropReason(c *Candidate, r *Request, now time.Time) Reason {
 	for _, filter := range p.Filters {
 		if reason := filter.DropReason(c, r, now); reason != ReasonNone {
