--- a/internal/e2e/fleet_stop_test.go
+++ b/internal/e2e/fleet_stop_test.go
@@ -137,6 +137,6 @@
 	case got.err != nil && !ran && kept:
 		// The request crossed the close of its connection and was not sent on.
 	default:
-		o.cut = append(o.cut, fmt.Sprintf("request %s was cut off: ran %t, %+v", id, ran, got))
+		o.cut = append(o.cut, fmt.Sprintf("request %s was cut off: ran %t, kept connection %t, error %v, %+v", id, ran, kept, got.err, got))
 	}
 }
