Log and count when the retry budget of a service is used up

A line now says that the budget of a service is used up, with its counts and the number of instances that share the slack, and that it is available again; the line that ends a request says what stopped further attempts. A counter and three gauges show the same.

--- a/internal/gateway/finish.go
+++ b/internal/gateway/finish.go
@@ -20,11 +20,12 @@
 		r.gateway.Metrics.countFinished(r, api.OutcomeUnknown, fault.CodeCallerGone)
 		r.caller.Abort()
 	case r.headSent:
-		r.log("answer to the caller was interrupted", "after", r.lastEventID, "runs", r.executions, "cause", cutReason(cause))
+		r.log("answer to the caller was interrupted", "after", r.lastEventID, "runs", r.executions, "cause", cutReason(cause),
+			"stopped_by", r.stopReason)
 		r.gateway.Metrics.countFinished(r, api.OutcomeUnknown, fault.CodeStreamCut)
 		r.caller.Abort()
 	case r.serverFailure != nil:
-		r.log("backend server's failure response returned to the caller", "runs", r.executions)
+		r.log("backend server's failure response returned to the caller", "runs", r.executions, "stopped_by", r.stopReason)
 		r.gateway.Metrics.countFinished(r, api.OutcomeAnswered, fault.CodeBackendServerFailed)
 		_ = r.caller.Answer(r.serverFailure, r.serverFailureBody)
 	default:
@@ -82,7 +83,7 @@
 // refuse answers the caller with an error of this instance.
 func (r *requestJob) refuse(refusal *fault.Error) {
 	r.log("error response returned to the caller", "step", refusal.Step, "code", refusal.Code, "outcome", refusal.Outcome,
-		"sends", r.sentAttempts, "configuration", r.gateway.Configurations.Version())
+		"sends", r.sentAttempts, "configuration", r.gateway.Configurations.Version(), "stopped_by", r.stopReason)
 	r.gateway.Metrics.countFinished(r, refusal.Outcome, refusal.Code)
 	r.caller.Refuse(refusal)
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -174,7 +174,7 @@
 		AvailabilityZone: "z", Configurations: configurations, Directory: directory, Backends: backends, Versions: noPreference{},
 		Crashes: crashguard.NewTable(crashguard.Options{MayTry: func(string) bool { return true }, Log: log}),
 		RetryBudget: retry.NewSharedBudget(retry.SharedBudgetOptions{
-			Ratio: 0.9, Slack: 20, Window: 10 * time.Second, Instances: func() int { return 1 },
+			Ratio: 0.9, Slack: 20, Window: 10 * time.Second, Instances: func() int { return 1 }, Log: log,
 		}),
 		InstanceCount: func() int { return 1 }, Metrics: NewMetrics(telemetry.NewMetrics()), Log: log,
 	})
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -1,13 +1,18 @@
 package gateway
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/cicadawall/cicadawall/internal/api"
 	"github.com/cicadawall/cicadawall/internal/fault"
+	"github.com/cicadawall/cicadawall/internal/retry"
 	"github.com/cicadawall/cicadawall/internal/telemetry"
 )
 
+// maxBudgetServices bounds the services whose retry budget has gauges of its own.
+const maxBudgetServices = 32
+
 // Metrics counts requests by class and organisation.
 type Metrics struct{ telemetry *telemetry.Metrics }
 
@@ -34,6 +39,23 @@
 	}
 }
 
+// DeclareBudgets creates gauges of the retry budget for the services of a configuration.
+func (m *Metrics) DeclareBudgets(c *Configuration, budget *retry.SharedBudget) {
+	for i := range c.Services[:min(maxBudgetServices, len(c.Services))] {
+		service := c.Services[i].Name
+		usage := func() retry.Usage { return budget.Usage(service, time.Now()) }
+		m.telemetry.RegisterGauge(fmt.Sprintf("cicadawall_retry_budget_allowed{service=%q}", service), func() float64 { return usage().Allowed })
+		m.telemetry.RegisterGauge(fmt.Sprintf("cicadawall_retry_budget_spent{service=%q}", service),
+			func() float64 { return float64(usage().Repeats) })
+		m.telemetry.RegisterGauge(fmt.Sprintf("cicadawall_retry_budget_instances{service=%q}", service),
+			func() float64 { return float64(usage().Instances) })
+	}
+}
+
+func (m *Metrics) countBudgetRefusal() {
+	m.telemetry.AddToCounter("cicadawall_retry_budget_refusals_total", 1)
+}
+
 func (m *Metrics) observeFirstEvent(r *requestJob, latency time.Duration) {
 	m.telemetry.RecorderFor(r.organisation, r.route.Name).FirstToken(latency)
 }
--- a/internal/gateway/models.go
+++ b/internal/gateway/models.go
@@ -212,6 +212,7 @@
 		return false
 	}
 	if !r.gateway.RetryBudget.Spend(r.service.Name, escalationBudgetFraction, now) {
+		r.gateway.Metrics.countBudgetRefusal()
 		return false
 	}
 	r.retryBudgetSpent = true
--- /dev/null
+++ b/internal/gateway/repeat.go
@@ -0,0 +1,48 @@
+package gateway
+
+import "time"
+
+// mayRetry reports whether the deadline, the limits on attempts and the retry budget allow another attempt.
+func (r *requestJob) mayRetry(now time.Time) bool {
+	r.stopReason = r.attemptLimit(now)
+	if r.stopReason != "" {
+		return false
+	}
+	if r.retryBudgetSpent {
+		r.retryBudgetSpent = false
+		return true
+	}
+	if !r.gateway.RetryBudget.Spend(r.service.Name, 1, now) {
+		r.stopReason = "retry budget"
+		r.gateway.Metrics.countBudgetRefusal()
+		return false
+	}
+	return true
+}
+
+// attemptLimit names the limit of the request itself that allows no further attempt, or returns "".
+func (r *requestJob) attemptLimit(now time.Time) string {
+	switch {
+	case r.ctx.Err() != nil:
+		return "request ended"
+	case r.sentAttempts >= maxSentAttempts || r.unsentAttempts >= maxUnsentAttempts:
+		return "attempts"
+	case r.executions >= max(1, r.route.MaxAttempts):
+		return "executions"
+	case r.crashes >= maxCrashesPerRequest:
+		return "crashes"
+	case !r.deadline.IsZero() && r.deadline.Sub(now) < minAttemptTime:
+		return "deadline"
+	}
+	return ""
+}
+
+// retryOrFinish reports whether another attempt may follow, and ends the request if not. A request that must run at most once
+// is repeated only if no server can have run it; notRun says that the last attempt did not run.
+func (r *requestJob) retryOrFinish(notRun bool) bool {
+	if notRun && !r.outcomeUnknown || r.route.Repeatable() {
+		return true
+	}
+	r.finishUnanswered()
+	return false
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -78,6 +78,8 @@
 	// server.
 	watched  *crashguard.Attempt
 	survived bool
+	// stopReason says why no further attempt was made; empty if none was wanted.
+	stopReason string
 	// retryBudgetSpent is set if the retry budget has already been charged for the next attempt.
 	retryBudgetSpent bool
 
@@ -212,24 +214,6 @@
 	return stopping && left < max(minAttemptTime, r.route.TargetLatency)
 }
 
-// mayRetry reports whether the deadline, the limits on attempts and the retry budget allow another attempt.
-func (r *requestJob) mayRetry(now time.Time) bool {
-	if r.ctx.Err() != nil || r.sentAttempts >= maxSentAttempts || r.unsentAttempts >= maxUnsentAttempts {
-		return false
-	}
-	if r.executions >= max(1, r.route.MaxAttempts) || r.crashes >= maxCrashesPerRequest {
-		return false
-	}
-	if !r.deadline.IsZero() && r.deadline.Sub(now) < minAttemptTime {
-		return false
-	}
-	if r.retryBudgetSpent {
-		r.retryBudgetSpent = false
-		return true
-	}
-	return r.gateway.RetryBudget.Spend(r.service.Name, 1, now)
-}
-
 func (r *requestJob) newAttempt(server *backend.Attempt) Attempt {
 	remaining := time.Duration(0)
 	if !r.deadline.IsZero() {
@@ -360,16 +344,6 @@
 	return false
 }
 
-// retryOrFinish reports whether another attempt may follow, and ends the request if not. A request that must run at most once
-// is repeated only if no server can have run it; notRun says that the last attempt did not run.
-func (r *requestJob) retryOrFinish(notRun bool) bool {
-	if notRun && !r.outcomeUnknown || r.route.Repeatable() {
-		return true
-	}
-	r.finishUnanswered()
-	return false
-}
-
 // observeVersion records an answer, or a part of an answer, as evidence on the server's version. Evidence is grouped by route
 // and model, because such requests take similar times.
 func (r *requestJob) observeVersion(server *backend.Attempt, classSuffix string, bad bool, latency time.Duration) {
--- a/internal/retry/shared.go
+++ b/internal/retry/shared.go
@@ -1,6 +1,7 @@
 package retry
 
 import (
+	"log/slog"
 	"time"
 
 	"github.com/cicadawall/cicadawall/internal/lockorder"
@@ -25,6 +26,8 @@
 	Window time.Duration
 	// Instances returns the number of instances that share the slack.
 	Instances func() int
+	// Log receives a line when the budget of a service is used up and when it is available again.
+	Log *slog.Logger
 }
 
 type sharedSlot struct {
@@ -33,7 +36,23 @@
 	extraArrivals int
 }
 
-type sharedRow [sharedSlotCount]sharedSlot
+// sharedRow is the state of one service.
+type sharedRow struct {
+	slots     [sharedSlotCount]sharedSlot
+	shortfall shortfall
+}
+
+// Usage is what the budget of a service rests on at a moment.
+type Usage struct {
+	// Requests and Repeats are those of the last window.
+	Requests, Repeats int
+	// Allowed is the number of repeats that the window allows.
+	Allowed float64
+	// Instances is the number of instances that share the slack.
+	Instances int
+	// Refusals is the number of repeats that were refused since the budget was last available.
+	Refusals int
+}
 
 // SharedBudget bounds the extra arrivals at each service. Each instance is limited by its own requests and its part of the
 // slack, so the bound holds for the sum over all instances without communication between them. It is safe for concurrent
@@ -64,28 +83,72 @@
 // CountRequest counts a request for the service that arrived at the time. One that arrived more than a window ago, because its body took
 // that long, is not counted.
 func (b *SharedBudget) CountRequest(service string, arrived time.Time) {
+	ended := b.countRequest(service, arrived)
+	if ended.refusals > 0 {
+		b.options.Log.Info("retry budget is available again", "service", service, "refusals", ended.refusals,
+			"used_up_ms", ended.last.Sub(ended.since).Milliseconds())
+	}
+}
+
+func (b *SharedBudget) countRequest(service string, arrived time.Time) (ended shortfall) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if slot := b.slot(service, arrived); slot != nil {
 		slot.requests++
 	}
+	return b.row(service).shortfall.endIfOver(arrived)
 }
 
 // Spend takes one extra arrival from the budget of the service. It returns false if the budget is exhausted. The fraction,
 // from 0 to 1, is the part of the budget up to which this kind of attempt may spend, so that optional attempts leave budget
 // for necessary ones.
 func (b *SharedBudget) Spend(service string, fraction float64, now time.Time) bool {
-	instances := max(1, b.options.Instances())
+	granted, first, usage := b.spend(service, fraction, now)
+	if first {
+		b.options.Log.Warn("retry budget is used up", "service", service, "requests", usage.Requests, "repeats", usage.Repeats,
+			"allowed", fraction*usage.Allowed, "instances", usage.Instances)
+	}
+	return granted
+}
+
+// spend implements Spend. It also reports whether this is the first refusal since the budget was available.
+func (b *SharedBudget) spend(service string, fraction float64, now time.Time) (granted, first bool, usage Usage) {
+	instances := b.options.Instances()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	current := b.slot(service, now)
-	requests, extra := b.windowTotals(service, now)
-	allowed := sharedRatioFraction*b.options.Ratio*float64(requests) + b.options.Slack/float64(instances)
-	if current == nil || float64(extra+1) > fraction*allowed {
-		return false
+	usage = b.usage(service, instances, now)
+	if current == nil || float64(usage.Repeats+1) > fraction*usage.Allowed {
+		return false, b.row(service).shortfall.record(now), usage
 	}
 	current.extraArrivals++
-	return true
+	return true, false, usage
+}
+
+// Usage returns what the budget of the service rests on now.
+func (b *SharedBudget) Usage(service string, now time.Time) Usage {
+	instances := b.options.Instances()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.usage(service, instances, now)
+}
+
+func (b *SharedBudget) usage(service string, instances int, now time.Time) Usage {
+	requests, repeats := b.windowTotals(service, now)
+	return Usage{
+		Requests: requests, Repeats: repeats, Instances: instances, Refusals: b.row(service).shortfall.refusals,
+		Allowed: sharedRatioFraction*b.options.Ratio*float64(requests) + b.options.Slack/float64(max(1, instances)),
+	}
+}
+
+// row returns the state of a service.
+func (b *SharedBudget) row(service string) *sharedRow {
+	row, ok := b.rows[service]
+	if !ok {
+		row = &sharedRow{}
+		b.rows[service] = row
+	}
+	return row
 }
 
 // slotNumber returns the number of the slot of a time. It is negative for a time of more than a window before the first one counted.
@@ -98,16 +161,11 @@
 
 // slot returns the slot of a time, or nil if the time is so old that its slot is not kept any more.
 func (b *SharedBudget) slot(service string, now time.Time) *sharedSlot {
-	row, ok := b.rows[service]
-	if !ok {
-		row = &sharedRow{}
-		b.rows[service] = row
-	}
 	number := b.slotNumber(now)
 	if number < 0 {
 		return nil
 	}
-	s := &row[number%sharedSlotCount]
+	s := &b.row(service).slots[number%sharedSlotCount]
 	if s.number > number {
 		return nil
 	}
@@ -119,7 +177,7 @@
 
 func (b *SharedBudget) windowTotals(service string, now time.Time) (requests, extra int) {
 	oldest := b.slotNumber(now) - sharedSlotCount
-	for _, s := range b.rows[service] {
+	for _, s := range b.row(service).slots {
 		if s.number > oldest {
 			requests += s.requests
 			extra += s.extraArrivals
--- a/internal/retry/shared_test.go
+++ b/internal/retry/shared_test.go
@@ -1,6 +1,7 @@
 package retry
 
 import (
+	"log/slog"
 	"testing"
 	"time"
 )
@@ -8,7 +9,7 @@
 // Guards against instances that do not communicate and together exceed the budget in some window.
 func TestSharedBudgetHoldsInSum(t *testing.T) {
 	const instances, seconds = 7, 60
-	options := SharedBudgetOptions{Ratio: 0.9, Slack: 54, Window: 10 * time.Second, Instances: func() int { return instances }}
+	options := SharedBudgetOptions{Ratio: 0.9, Slack: 54, Window: 10 * time.Second, Instances: func() int { return instances }, Log: slog.New(slog.DiscardHandler)}
 	budgets := make([]*SharedBudget, instances)
 	for i := range budgets {
 		budgets[i] = NewSharedBudget(options)
@@ -50,7 +51,7 @@
 // (review case 2, LOST: the process ended), and against such a request that takes the place of newer counts.
 func TestSharedBudgetIgnoresRequestsOfEarlierWindows(t *testing.T) {
 	const window = 10 * time.Second
-	budget := NewSharedBudget(SharedBudgetOptions{Ratio: 1, Window: window, Instances: func() int { return 1 }})
+	budget := NewSharedBudget(SharedBudgetOptions{Ratio: 1, Window: window, Instances: func() int { return 1 }, Log: slog.New(slog.DiscardHandler)})
 	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	for range 100 {
 		budget.CountRequest("desk", now)
@@ -76,7 +77,7 @@
 
 // Guards against optional attempts that exhaust the budget for necessary ones.
 func TestSharedBudgetReservesForNecessaryAttempts(t *testing.T) {
-	budget := NewSharedBudget(SharedBudgetOptions{Ratio: 0.5, Slack: 0, Window: 10 * time.Second, Instances: func() int { return 1 }})
+	budget := NewSharedBudget(SharedBudgetOptions{Ratio: 0.5, Slack: 0, Window: 10 * time.Second, Instances: func() int { return 1 }, Log: slog.New(slog.DiscardHandler)})
 	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	for range 100 {
 		budget.CountRequest("desk", now)
