Show repeats beyond the retry budget with processes that restart

Seven processes whose servers refuse each request are killed and started in series, or all at once, and the repeats are counted at the servers as the rule BUDGET does.

--- /dev/null
+++ b/internal/e2e/fleet_budget_test.go
@@ -0,0 +1,136 @@
+package e2e
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/cicadawall/cicadawall/internal/standin/modelserver"
+)
+
+const (
+	// budgetInstances is the number of instances of the users' first deployment.
+	budgetInstances = 7
+	// budgetRunTime spans several windows of the retry budget.
+	budgetRunTime = 24 * time.Second
+	// restartPause is the time from the start of one process to the end of the next one.
+	restartPause = 300 * time.Millisecond
+)
+
+// budgetRun sends idempotent requests to the instances of a fleet whose servers refuse them, so that each request is repeated as often as
+// the retry budget allows.
+type budgetRun struct {
+	*fleet
+	requestsPerSecond int
+	stopped           atomic.Bool
+	callers           sync.WaitGroup
+	lastRequest       atomic.Int64
+	mu                sync.Mutex
+	sent              []time.Time
+	served            int
+}
+
+func startBudgetRun(f *fleet, requestsPerSecond int) *budgetRun {
+	b := &budgetRun{fleet: f, requestsPerSecond: requestsPerSecond}
+	for caller := range f.instances {
+		b.callers.Go(func() { b.runCaller(caller) })
+	}
+	return b
+}
+
+// runCaller sends requests at a steady rate, to the instances in turn.
+func (b *budgetRun) runCaller(caller int) {
+	ticker := time.NewTicker(time.Second * time.Duration(len(b.instances)) / time.Duration(b.requestsPerSecond))
+	defer ticker.Stop()
+	var requests sync.WaitGroup
+	defer requests.Wait()
+	for n := caller; !b.stopped.Load(); n++ {
+		instance := b.instances[n%len(b.instances)]
+		requests.Go(func() { b.sendOne(instance) })
+		<-ticker.C
+	}
+}
+
+func (b *budgetRun) sendOne(instance *fleetInstance) {
+	sent := time.Now()
+	got := b.send(instance, http.MethodGet, "/look/x", fmt.Sprintf("look-%d", b.lastRequest.Add(1)))
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !errors.Is(got.err, syscall.ECONNREFUSED) {
+		b.sent = append(b.sent, sent)
+	}
+	if got.err == nil && got.status == http.StatusOK {
+		b.served++
+	}
+}
+
+// restartInTurn kills one instance after the other and starts it again at once, until the time is over.
+func (b *budgetRun) restartInTurn(duration time.Duration) {
+	deadline := time.Now().Add(duration)
+	for n := 0; time.Now().Before(deadline); n++ {
+		b.kill(b.instances[n%len(b.instances)])
+		b.startInstanceProcess(b.instances[n%len(b.instances)])
+		sleep(restartPause)
+	}
+}
+
+func (b *budgetRun) kill(instance *fleetInstance) {
+	instance.process.signal(syscall.SIGKILL)
+	<-instance.process.done
+}
+
+// end stops the callers and checks the arrivals at the servers against the retry budget.
+func (b *budgetRun) end() {
+	b.stopped.Store(true)
+	b.callers.Wait()
+	repeats := repeatsAt(b.servers, "orders")
+	worst := worstBudgetWindow(repeats, b.sent)
+	b.t.Logf("%d requests, %d served, %d repeats; worst window: %s", len(b.sent), b.served, len(repeats), worst)
+	if worst.excess() > 0 {
+		b.t.Errorf("repeats exceed the retry budget: %s", worst)
+	}
+}
+
+func (f *fleet) refuseAll(service string) {
+	for _, server := range f.servers {
+		if server.service == service {
+			server.SetFault(modelserver.FaultFull, -1)
+		}
+	}
+}
+
+// Guards against instances that forget what their earlier processes repeated, or each take the whole slack of the fleet when they start:
+// killed and started in series, together they exceed the retry budget.
+func TestFleetRetryBudgetHoldsWhileInstancesRestart(t *testing.T) {
+	for name, requestsPerSecond := range map[string]int{"few requests": 10, "many requests": 140} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, budgetInstances)
+			f.refuseAll("orders")
+			b := startBudgetRun(f, requestsPerSecond)
+			b.restartInTurn(budgetRunTime)
+			b.end()
+		})
+	}
+}
+
+// Guards against instances that each take the whole slack of the fleet when all of them start at once.
+func TestFleetRetryBudgetHoldsWhenAllInstancesStart(t *testing.T) {
+	f := newFleet(t, budgetInstances)
+	f.refuseAll("orders")
+	b := startBudgetRun(f, 70)
+	for range 4 {
+		sleep(budgetRunTime / 8)
+		for _, instance := range f.instances {
+			b.kill(instance)
+		}
+		for _, instance := range f.instances {
+			f.startInstanceProcess(instance)
+		}
+	}
+	b.end()
+}
--- a/internal/e2e/fleet_signals_test.go
+++ b/internal/e2e/fleet_signals_test.go
@@ -16,7 +16,7 @@
 func TestFleetLeavesLeavingServerAlone(t *testing.T) {
 	f := newFleet(t, 2)
 	f.send(f.instances[0], http.MethodGet, "/look/x", "first")
-	leaving := f.servers[slices.IndexFunc(f.servers, func(s *fleetServer) bool { return s.Arrivals() > 0 })]
+	leaving := f.servers[slices.IndexFunc(f.servers, func(s *fleetServer) bool { return len(s.Arrivals()) > 0 })]
 	leaving.Leave()
 	sent := 0
 	send := func() {
@@ -26,18 +26,18 @@
 		}
 	}
 	eventually(t, recoveryTimeout, "the server gets no requests any more", func() bool {
-		before := leaving.Arrivals()
+		before := len(leaving.Arrivals())
 		for range 20 {
 			send()
 		}
-		return leaving.Arrivals() == before
+		return len(leaving.Arrivals()) == before
 	})
 	f.writeServerRow(leaving, "ready")
-	before := leaving.Arrivals()
+	before := len(leaving.Arrivals())
 	for range 20 {
 		send()
 	}
-	if got := leaving.Arrivals(); got != before {
+	if got := len(leaving.Arrivals()); got != before {
 		t.Errorf("%d requests reached the server after its row said again that it is ready", got-before)
 	}
 }
@@ -53,7 +53,7 @@
 	arrivals := func() int {
 		total := 0
 		for _, server := range f.servers {
-			total += server.Arrivals()
+			total += len(server.Arrivals())
 		}
 		return total
 	}
--- a/internal/standin/modelserver/modelserver.go
+++ b/internal/standin/modelserver/modelserver.go
@@ -59,6 +59,12 @@
 	RestartTime time.Duration
 }
 
+// Arrival is one request that reached the server.
+type Arrival struct {
+	ID string
+	At time.Time
+}
+
 // Execution is one request that the server executed.
 type Execution struct {
 	ID     string
@@ -81,8 +87,8 @@
 	executions []Execution
 	// leaving makes all answers say that the server leaves.
 	leaving bool
-	// arrivals counts the requests that reached the server, executed or not.
-	arrivals int
+	// arrivals are the requests that reached the server, executed or not.
+	arrivals []Arrival
 	// downUntil is when the server is back after a crash.
 	downUntil time.Time
 }
@@ -106,18 +112,18 @@
 	s.leaving = true
 }
 
-// Arrivals returns the number of requests that reached the server, executed or not.
-func (s *Server) Arrivals() int {
+// Arrivals returns a copy of the requests that reached the server, executed or not, in their order.
+func (s *Server) Arrivals() []Arrival {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.arrivals
+	return append([]Arrival(nil), s.arrivals...)
 }
 
-// arrive counts a request and reports whether the server leaves.
-func (s *Server) arrive() bool {
+// arrive records a request and reports whether the server leaves.
+func (s *Server) arrive(id string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.arrivals++
+	s.arrivals = append(s.arrivals, Arrival{ID: id, At: time.Now()})
 	return s.leaving
 }
 
@@ -179,7 +185,7 @@
 	if s.isDown() {
 		common.CloseConnection()
 	}
-	if s.arrive() {
+	if s.arrive(r.Header.Get("Cicadawall-Request-Id")) {
 		header.Set("Server-Leaving", "1")
 	}
 	if expected := r.Header.Get("Cicadawall-Expected-Instance"); expected != "" && expected != s.options.ID {
