Use no part of the slack of the retry budget just after a start

Callers saw no error. The servers of a service that refused requests got 312 repeats in 10 s where 137 are allowed while instances were killed and started in series (7 processes, 10 requests a second), and up to 1,472 where 1,299 are allowed at 140 a second.

Cause: what an instance has repeated is kept in memory. A process that has just started knew nothing of the repeats of its predecessor and had its whole part of the slack again, so k starts in a window allowed k parts more. A process that knew no list of instances also divided the slack by too few.

An instance now uses no slack for two windows after its start: in the first its predecessor may have spent its part, in the second peers that did not know of it yet may have spent larger parts. It uses none at all until it has read a list of all instances, from the store or a peer.

--- a/internal/e2e/fleet_budget_test.go
+++ b/internal/e2e/fleet_budget_test.go
@@ -11,8 +11,12 @@
 	"time"
 
 	"github.com/cicadawall/cicadawall/internal/standin/modelserver"
+	"github.com/cicadawall/cicadawall/internal/standin/retrycheck"
 )
 
+// retryBudget is the retry budget in the settings of the instances.
+var retryBudget = retrycheck.Budget{Ratio: 0.9, Slack: 50, Window: 10 * time.Second}
+
 const (
 	// budgetInstances is the number of instances of the users' first deployment.
 	budgetInstances = 7
@@ -88,14 +92,25 @@
 func (b *budgetRun) end() {
 	b.stopped.Store(true)
 	b.callers.Wait()
-	repeats := repeatsAt(b.servers, "orders")
-	worst := worstBudgetWindow(repeats, b.sent)
+	repeats := retrycheck.Repeats(b.arrivalsAt("orders"))
+	worst := retryBudget.Worst(repeats, b.sent)
 	b.t.Logf("%d requests, %d served, %d repeats; worst window: %s", len(b.sent), b.served, len(repeats), worst)
-	if worst.excess() > 0 {
+	if worst.Excess > 0 {
 		b.t.Errorf("repeats exceed the retry budget: %s", worst)
 	}
 }
 
+// arrivalsAt returns the requests that reached the servers of a service.
+func (f *fleet) arrivalsAt(service string) []retrycheck.Arrival {
+	var arrivals []retrycheck.Arrival
+	for _, server := range f.servers {
+		if server.service == service {
+			arrivals = append(arrivals, server.Arrivals()...)
+		}
+	}
+	return arrivals
+}
+
 func (f *fleet) refuseAll(service string) {
 	for _, server := range f.servers {
 		if server.service == service {
--- a/internal/e2e/fleet_world_test.go
+++ b/internal/e2e/fleet_world_test.go
@@ -152,8 +152,8 @@
 	text := strings.Join([]string{
 		"NodeName=" + name, "Zone=zone-a", "ListenAddresses.Front=" + i.callerAddress, "ListenAddresses.Ready=" + i.readinessAddress,
 		"ListenAddresses.Control=" + freeAddress(f.t), "Platform.Address=" + i.storeProxy.address(), fmt.Sprintf("Bounds.GracePeriodS=%d", f.gracePeriodSeconds),
-		fmt.Sprintf("Bounds.RetryBudgetRatio=%g", retryBudgetRatio), fmt.Sprintf("Bounds.RetryBudgetSlack=%d", retryBudgetSlack),
-		fmt.Sprintf("Bounds.BudgetWindowS=%g", retryBudgetWindow.Seconds()), "Bounds.ExposureShare=0.15",
+		fmt.Sprintf("Bounds.RetryBudgetRatio=%g", retryBudget.Ratio), fmt.Sprintf("Bounds.RetryBudgetSlack=%g", retryBudget.Slack),
+		fmt.Sprintf("Bounds.BudgetWindowS=%g", retryBudget.Window.Seconds()), "Bounds.ExposureShare=0.15",
 		"Limits.MemoryMb=284", "Something.New=1", "",
 	}, "\n")
 	if err := os.WriteFile(i.settingsFile, []byte(text), 0o600); err != nil {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -86,7 +86,9 @@
 	// peakInstances is the largest number of instances known at once. Limits are divided by it, so that an isolated instance does
 	// not use the shares of the others.
 	peakInstances int
-	roundCount    int
+	// fleetKnown is set once this instance has read a list of all instances. Before, peakInstances may be far too small.
+	fleetKnown bool
+	roundCount int
 	// fetching is set while the configuration is fetched from a peer. Only one fetch runs at a time, because it may be large.
 	fetching bool
 }
@@ -104,6 +106,23 @@
 	return 1 + len(e.peers)
 }
 
+// MarkFleetKnown records that this instance has read a list of all instances.
+func (e *Exchange) MarkFleetKnown() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.fleetKnown = true
+}
+
+// FleetSize returns the largest number of instances that were known at once, or 0 as long as no list of all instances has been read.
+func (e *Exchange) FleetSize() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.fleetKnown {
+		return 0
+	}
+	return max(1, e.peakInstances)
+}
+
 // PeakInstanceCount returns the largest number of instances that were known at once.
 func (e *Exchange) PeakInstanceCount() int {
 	e.mu.Lock()
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -165,6 +165,26 @@
 	})
 }
 
+// Guards against an instance that takes the whole slack of a bound on the fleet because it has not heard of its peers yet.
+func TestFleetSizeIsUnknownBeforeAListWasRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		peer, node := n.add("peer", false), n.add("node", false, "peer")
+		third := n.add("third", false)
+		peer.PutPeer(third.Identity)
+		round(t, node)
+		if got := node.FleetSize(); got != 0 {
+			t.Errorf("fleet size %d after a round without a list, want 0", got)
+		}
+		for range discoverRounds {
+			round(t, node)
+		}
+		if got := node.FleetSize(); got != 3 {
+			t.Errorf("fleet size %d, want 3", got)
+		}
+	})
+}
+
 // Guards against an instance that uses servers which a peer knows to be leaving while the store is unavailable to it.
 func TestServersComeFromPeers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/exchange/merge.go
+++ b/internal/exchange/merge.go
@@ -17,6 +17,9 @@
 	for _, instance := range state.Instances {
 		e.PutPeer(instance)
 	}
+	if len(state.Instances) > 0 {
+		e.MarkFleetKnown()
+	}
 	if state.ConfigurationVersion > e.Configurations.Version() && e.beginFetch() {
 		go e.fetchConfiguration(address, state.ConfigurationVersion)
 	}
--- a/internal/retry/shared.go
+++ b/internal/retry/shared.go
@@ -14,6 +14,9 @@
 	// sharedRatioFraction is the fraction of the ratio that is used. The margin is needed because extra arrivals are counted
 	// when they reach a backend server, but requests when they are sent.
 	sharedRatioFraction = 0.95
+	// slackDelayWindows is the number of windows after its start for which an instance uses no slack. In the first one its earlier process may
+	// have spent its part. In the second one peers that did not know of it yet may have spent larger parts.
+	slackDelayWindows = 2
 )
 
 // SharedBudgetOptions configures a budget that all instances share.
@@ -24,8 +27,10 @@
 	Slack float64
 	// Window is the length of the sliding window.
 	Window time.Duration
-	// Instances returns the number of instances that share the slack.
+	// Instances returns the number of instances that share the slack; 0 means that it is unknown, and no slack is used.
 	Instances func() int
+	// Started is the start of the process.
+	Started time.Time
 	// Log receives a line when the budget of a service is used up and when it is available again.
 	Log *slog.Logger
 }
@@ -55,8 +60,8 @@
 }
 
 // SharedBudget bounds the extra arrivals at each service. Each instance is limited by its own requests and its part of the
-// slack, so the bound holds for the sum over all instances without communication between them. It is safe for concurrent
-// use.
+// slack, so the bound holds for the sum over all instances without communication between them. It also holds for the sum over the
+// processes of an instance, because a process that has just started uses no slack. It is safe for concurrent use.
 type SharedBudget struct {
 	options SharedBudgetOptions
 
@@ -137,10 +142,18 @@
 	requests, repeats := b.windowTotals(service, now)
 	return Usage{
 		Requests: requests, Repeats: repeats, Instances: instances, Refusals: b.row(service).shortfall.refusals,
-		Allowed: sharedRatioFraction*b.options.Ratio*float64(requests) + b.options.Slack/float64(max(1, instances)),
+		Allowed: sharedRatioFraction*b.options.Ratio*float64(requests) + b.slackPart(instances, now),
 	}
 }
 
+// slackPart returns the part of the slack that this instance may use.
+func (b *SharedBudget) slackPart(instances int, now time.Time) float64 {
+	if instances < 1 || now.Sub(b.options.Started) < slackDelayWindows*b.options.Window {
+		return 0
+	}
+	return b.options.Slack / float64(instances)
+}
+
 // row returns the state of a service.
 func (b *SharedBudget) row(service string) *sharedRow {
 	row, ok := b.rows[service]
--- /dev/null
+++ b/internal/retry/shared_fleet_test.go
@@ -0,0 +1,107 @@
+package retry
+
+import (
+	"log/slog"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/cicadawall/cicadawall/internal/standin/retrycheck"
+)
+
+const (
+	fleetInstances = 7
+	fleetTick      = 50 * time.Millisecond
+)
+
+// fleetBudget is the retry budget of the users' first deployment.
+var fleetBudget = retrycheck.Budget{Ratio: 0.9, Slack: 54, Window: 10 * time.Second}
+
+// fleetRun plays the budgets of several instances in virtual time. Each request is repeated as often as the budget allows, up to three times.
+type fleetRun struct {
+	start, now    time.Time
+	random        *rand.Rand
+	budgets       []*SharedBudget
+	known         int
+	maxDelay      time.Duration
+	sent, repeats []time.Time
+}
+
+// newFleetRun returns instances that have run for long enough to use their parts of the slack.
+func newFleetRun(seed uint64) *fleetRun {
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	f := &fleetRun{start: start, now: start.Add(-time.Hour), random: rand.New(rand.NewPCG(seed, 0)), known: fleetInstances}
+	f.budgets = make([]*SharedBudget, fleetInstances)
+	for i := range f.budgets {
+		f.restart(i)
+	}
+	f.now = start
+	return f
+}
+
+// restart replaces the budget of an instance by that of a new process.
+func (f *fleetRun) restart(i int) {
+	f.budgets[i] = NewSharedBudget(SharedBudgetOptions{
+		Ratio: fleetBudget.Ratio, Slack: fleetBudget.Slack, Window: fleetBudget.Window, Started: f.now,
+		Instances: func() int { return f.known }, Log: slog.New(slog.DiscardHandler),
+	})
+}
+
+// seconds returns the time since the start of the run.
+func (f *fleetRun) seconds() float64 { return f.now.Sub(f.start).Seconds() }
+
+// request sends a request to an instance and repeats it as often as wanted and allowed.
+func (f *fleetRun) request(i, wanted int) {
+	f.sent = append(f.sent, f.now)
+	f.budgets[i].CountRequest("desk", f.now)
+	f.repeat(i, wanted)
+}
+
+// repeat makes up to the wanted number of repeats at an instance, which arrive after up to maxDelay.
+func (f *fleetRun) repeat(i, wanted int) {
+	for range wanted {
+		if !f.budgets[i].Spend("desk", 1, f.now) {
+			return
+		}
+		f.repeats = append(f.repeats, f.now.Add(time.Duration(f.random.Int64N(int64(f.maxDelay)+1))))
+	}
+}
+
+// play runs the step at each tick for the duration.
+func (f *fleetRun) play(duration time.Duration, step func(tick int)) {
+	for tick := range int(duration / fleetTick) {
+		step(tick)
+		f.now = f.now.Add(fleetTick)
+	}
+}
+
+// check fails the test if a window exceeds the budget. It returns the number of repeats.
+func (f *fleetRun) check(t *testing.T) int {
+	t.Helper()
+	worst := fleetBudget.Worst(f.repeats, f.sent)
+	t.Logf("%d requests, %d repeats; worst window: %s", len(f.sent), len(f.repeats), worst)
+	if worst.Excess > 0 {
+		t.Errorf("repeats exceed the retry budget: %s", worst)
+	}
+	return len(f.repeats)
+}
+
+// Guards against instances that forget what their earlier processes repeated: with each start a part of the slack is spent once more.
+func TestSharedBudgetHoldsWhileInstancesRestart(t *testing.T) {
+	for _, requestsPerTick := range []float64{0.1, 0.5, 7} {
+		for _, restartTicks := range []int{4, 10, 100} {
+			f := newFleetRun(1)
+			f.play(40*time.Second, func(tick int) {
+				if tick%restartTicks == 0 {
+					f.restart(tick / restartTicks % fleetInstances)
+				}
+				for due := requestsPerTick; due > 0; due-- {
+					if f.random.Float64() < due {
+						f.request(f.random.IntN(fleetInstances), 3)
+					}
+				}
+			})
+			f.check(t)
+		}
+	}
+}
--- a/internal/standin/modelserver/modelserver.go
+++ b/internal/standin/modelserver/modelserver.go
@@ -12,6 +12,7 @@
 
 	"github.com/cicadawall/cicadawall/internal/lockorder"
 	"github.com/cicadawall/cicadawall/internal/standin/common"
+	"github.com/cicadawall/cicadawall/internal/standin/retrycheck"
 )
 
 // Fault is a failure that the server simulates.
@@ -59,12 +60,6 @@
 	RestartTime time.Duration
 }
 
-// Arrival is one request that reached the server.
-type Arrival struct {
-	ID string
-	At time.Time
-}
-
 // Execution is one request that the server executed.
 type Execution struct {
 	ID     string
@@ -88,7 +83,7 @@
 	// leaving makes all answers say that the server leaves.
 	leaving bool
 	// arrivals are the requests that reached the server, executed or not.
-	arrivals []Arrival
+	arrivals []retrycheck.Arrival
 	// downUntil is when the server is back after a crash.
 	downUntil time.Time
 }
@@ -113,17 +108,17 @@
 }
 
 // Arrivals returns a copy of the requests that reached the server, executed or not, in their order.
-func (s *Server) Arrivals() []Arrival {
+func (s *Server) Arrivals() []retrycheck.Arrival {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return append([]Arrival(nil), s.arrivals...)
+	return append([]retrycheck.Arrival(nil), s.arrivals...)
 }
 
 // arrive records a request and reports whether the server leaves.
 func (s *Server) arrive(id string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.arrivals = append(s.arrivals, Arrival{ID: id, At: time.Now()})
+	s.arrivals = append(s.arrivals, retrycheck.Arrival{ID: id, At: time.Now()})
 	return s.leaving
 }
 
