Count repeats from their grant until a whole window after their arrival

Servers got up to 187 repeats in 10 s where 99 are allowed when failures came in two bursts at the ends of a window, without any restart.

Cause: the window was kept in 20 slots of which the newest had just begun, so it covered 9.5 s, and the first burst was forgotten while the second was repeated. A repeat was counted when it was granted, not when it arrived, and a margin of 5% of the ratio, which was not derived from either, covered both differences for steady failures only.

A repeat counts from its grant on, as pending, until a window after the answer to it began or its connection ended. One that reaches no server is returned. The margin is gone.

TestSharedBudgetHoldsForBurstsAtBothEndsOfAWindow failed on the code before. TestRetryBudgetCountsRepeatsThatReachServers guards the accounting of attempts; late arrivals are played by TestSharedBudgetHoldsForRepeatsThatArriveLate, which passed before because of the margin.

--- a/internal/gateway/models.go
+++ b/internal/gateway/models.go
@@ -215,7 +215,7 @@
 		r.gateway.Metrics.countBudgetRefusal()
 		return false
 	}
-	r.retryBudgetSpent = true
+	r.repeatGranted = true
 	r.droppedModel, r.model = r.model, largest
 	r.triedServers = nil
 	return true
--- a/internal/gateway/repeat.go
+++ b/internal/gateway/repeat.go
@@ -8,8 +8,8 @@
 	if r.stopReason != "" {
 		return false
 	}
-	if r.retryBudgetSpent {
-		r.retryBudgetSpent = false
+	if r.sentAttempts == 0 || r.repeatGranted {
+		// The retry budget limits the attempts that reach a server after another one did.
 		return true
 	}
 	if !r.gateway.RetryBudget.Spend(r.service.Name, 1, now) {
@@ -17,9 +17,26 @@
 		r.gateway.Metrics.countBudgetRefusal()
 		return false
 	}
+	r.repeatGranted = true
 	return true
 }
 
+// recordArrival tells the retry budget that the current attempt has reached its server, if it is a repeat.
+func (r *requestJob) recordArrival() {
+	if r.repeatGranted {
+		r.repeatGranted = false
+		r.gateway.RetryBudget.Arrived(r.service.Name, r.abandoned, time.Now())
+	}
+}
+
+// releaseRepeat returns a repeat that was granted and reached no server.
+func (r *requestJob) releaseRepeat() {
+	if r.repeatGranted {
+		r.repeatGranted = false
+		r.gateway.RetryBudget.Release(r.service.Name)
+	}
+}
+
 // attemptLimit names the limit of the request itself that allows no further attempt, or returns "".
 func (r *requestJob) attemptLimit(now time.Time) string {
 	switch {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -80,8 +80,10 @@
 	survived bool
 	// stopReason says why no further attempt was made; empty if none was wanted.
 	stopReason string
-	// retryBudgetSpent is set if the retry budget has already been charged for the next attempt.
-	retryBudgetSpent bool
+	// repeatGranted is set while a repeat that the retry budget has granted has not reached a server.
+	repeatGranted bool
+	// abandoned is set once an attempt was given up without an answer. Its server may read it later.
+	abandoned bool
 
 	model string
 	// droppedModel is the model whose answer was dropped for a larger one; empty if none was. largerRefusals counts the refusals of the
@@ -130,6 +132,7 @@
 		r.ctx = withDeadline
 	}
 	r.gateway.RetryBudget.CountRequest(r.service.Name, r.request.Arrived)
+	defer r.releaseRepeat()
 	r.chooseModel()
 	for r.attempt() {
 	}
@@ -153,6 +156,7 @@
 		return r.handleSendError(ctx, server, err)
 	}
 	defer reply.Body.Close()
+	r.recordArrival()
 	r.recordSignals(server, reply)
 	switch reply.Verdict {
 	case VerdictNotRun, VerdictMisdirected:
@@ -253,13 +257,13 @@
 		result = backend.ResultUnreachable
 		r.sentAttempts--
 		r.unsentAttempts++
-		// The retry budget limits the attempts that reach a server. This one did not, so the next attempt uses its charge.
-		r.retryBudgetSpent = true
 	}
 	server.End(result, time.Now())
 	r.log("attempt ended without a response from the backend server", "server", server.Entry.ID, "sent", sent,
 		"kept_connection", staleConnection, "shared_parts", crashguard.SharedParts(r.request.Prompt), "error", err.Error())
 	if sent {
+		r.abandoned = r.abandoned || ctx.Err() != nil
+		r.recordArrival()
 		r.executions++
 		r.outcomeUnknown = true
 		if r.route.HasPrompt && !staleConnection {
--- a/internal/retry/shared.go
+++ b/internal/retry/shared.go
@@ -7,17 +7,9 @@
 	"github.com/cicadawall/cicadawall/internal/lockorder"
 )
 
-const (
-	// sharedSlotCount is the number of slots of the window. A finer division costs memory, and its gain in accuracy is small
-	// against sharedRatioFraction.
-	sharedSlotCount = 20
-	// sharedRatioFraction is the fraction of the ratio that is used. The margin is needed because extra arrivals are counted
-	// when they reach a backend server, but requests when they are sent.
-	sharedRatioFraction = 0.95
-	// slackDelayWindows is the number of windows after its start for which an instance uses no slack. In the first one its earlier process may
-	// have spent its part. In the second one peers that did not know of it yet may have spent larger parts.
-	slackDelayWindows = 2
-)
+// slackDelayWindows is the number of windows after its start for which an instance uses no slack. In the first one its earlier process may have
+// spent its part. In the second one peers that did not know of it yet may have spent larger parts.
+const slackDelayWindows = 2
 
 // SharedBudgetOptions configures a budget that all instances share.
 type SharedBudgetOptions struct {
@@ -35,18 +27,6 @@
 	Log *slog.Logger
 }
 
-type sharedSlot struct {
-	number        int64
-	requests      int
-	extraArrivals int
-}
-
-// sharedRow is the state of one service.
-type sharedRow struct {
-	slots     [sharedSlotCount]sharedSlot
-	shortfall shortfall
-}
-
 // Usage is what the budget of a service rests on at a moment.
 type Usage struct {
 	// Requests and Repeats are those of the last window.
@@ -98,15 +78,16 @@
 func (b *SharedBudget) countRequest(service string, arrived time.Time) (ended shortfall) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if slot := b.slot(service, arrived); slot != nil {
+	row := b.row(service)
+	if slot := row.slot(b.slotNumber(arrived)); slot != nil {
 		slot.requests++
 	}
-	return b.row(service).shortfall.endIfOver(arrived)
+	return row.shortfall.endIfOver(arrived)
 }
 
-// Spend takes one extra arrival from the budget of the service. It returns false if the budget is exhausted. The fraction,
-// from 0 to 1, is the part of the budget up to which this kind of attempt may spend, so that optional attempts leave budget
-// for necessary ones.
+// Spend grants one repeat of a request for the service. It returns false if the budget is used up. The fraction, from 0 to 1, is the part of the
+// budget up to which this kind of attempt may spend, so that optional attempts leave budget for necessary ones. A granted repeat counts until
+// it is released, or until a window after the time given to Arrived.
 func (b *SharedBudget) Spend(service string, fraction float64, now time.Time) bool {
 	granted, first, usage := b.spend(service, fraction, now)
 	if first {
@@ -121,15 +102,38 @@
 	instances := b.options.Instances()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	current := b.slot(service, now)
+	row := b.row(service)
 	usage = b.usage(service, instances, now)
-	if current == nil || float64(usage.Repeats+1) > fraction*usage.Allowed {
-		return false, b.row(service).shortfall.record(now), usage
+	if b.slotNumber(now) < 0 || float64(usage.Repeats+1) > fraction*usage.Allowed {
+		return false, row.shortfall.record(now), usage
 	}
-	current.extraArrivals++
+	row.pending++
 	return true, false, usage
 }
 
+// Arrived records that a granted repeat has reached its server by now. An abandoned one, or one of a request of which an earlier attempt was
+// abandoned, may still reach it later and counts longer.
+func (b *SharedBudget) Arrived(service string, abandoned bool, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	row := b.row(service)
+	row.pending--
+	number := b.slotNumber(now)
+	if abandoned {
+		number += heldSlotCount
+	}
+	if slot := row.slot(number); slot != nil {
+		slot.repeats++
+	}
+}
+
+// Release returns a granted repeat that reached no server.
+func (b *SharedBudget) Release(service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.row(service).pending--
+}
+
 // Usage returns what the budget of the service rests on now.
 func (b *SharedBudget) Usage(service string, now time.Time) Usage {
 	instances := b.options.Instances()
@@ -142,7 +146,7 @@
 	requests, repeats := b.windowTotals(service, now)
 	return Usage{
 		Requests: requests, Repeats: repeats, Instances: instances, Refusals: b.row(service).shortfall.refusals,
-		Allowed: sharedRatioFraction*b.options.Ratio*float64(requests) + b.slackPart(instances, now),
+		Allowed: b.options.Ratio*float64(requests) + b.slackPart(instances, now),
 	}
 }
 
@@ -172,29 +176,6 @@
 	return int64(now.Sub(b.origin) / max(1, b.options.Window/sharedSlotCount))
 }
 
-// slot returns the slot of a time, or nil if the time is so old that its slot is not kept any more.
-func (b *SharedBudget) slot(service string, now time.Time) *sharedSlot {
-	number := b.slotNumber(now)
-	if number < 0 {
-		return nil
-	}
-	s := &b.row(service).slots[number%sharedSlotCount]
-	if s.number > number {
-		return nil
-	}
-	if s.number != number {
-		*s = sharedSlot{number: number}
-	}
-	return s
-}
-
-func (b *SharedBudget) windowTotals(service string, now time.Time) (requests, extra int) {
-	oldest := b.slotNumber(now) - sharedSlotCount
-	for _, s := range b.row(service).slots {
-		if s.number > oldest {
-			requests += s.requests
-			extra += s.extraArrivals
-		}
-	}
-	return requests, extra
+func (b *SharedBudget) windowTotals(service string, now time.Time) (requests, repeats int) {
+	return b.row(service).totals(b.slotNumber(now))
 }
--- a/internal/retry/shared_fleet_test.go
+++ b/internal/retry/shared_fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -25,6 +26,14 @@
 	known         int
 	maxDelay      time.Duration
 	sent, repeats []time.Time
+	// underWay are the repeats that have been granted and have not arrived.
+	underWay []repeatUnderWay
+}
+
+// repeatUnderWay is a repeat that reaches its server at a later time.
+type repeatUnderWay struct {
+	budget *SharedBudget
+	at     time.Time
 }
 
 // newFleetRun returns instances that have run for long enough to use their parts of the slack.
@@ -63,13 +72,28 @@
 		if !f.budgets[i].Spend("desk", 1, f.now) {
 			return
 		}
-		f.repeats = append(f.repeats, f.now.Add(time.Duration(f.random.Int64N(int64(f.maxDelay)+1))))
+		at := f.now.Add(time.Duration(f.random.Int64N(int64(f.maxDelay) + 1)))
+		f.repeats = append(f.repeats, at)
+		f.underWay = append(f.underWay, repeatUnderWay{f.budgets[i], at})
 	}
+	f.arrive()
+}
+
+// arrive tells the budgets of the repeats that have arrived.
+func (f *fleetRun) arrive() {
+	f.underWay = slices.DeleteFunc(f.underWay, func(r repeatUnderWay) bool {
+		if r.at.After(f.now) {
+			return false
+		}
+		r.budget.Arrived("desk", false, f.now)
+		return true
+	})
 }
 
 // play runs the step at each tick for the duration.
 func (f *fleetRun) play(duration time.Duration, step func(tick int)) {
 	for tick := range int(duration / fleetTick) {
+		f.arrive()
 		step(tick)
 		f.now = f.now.Add(fleetTick)
 	}
@@ -105,3 +129,40 @@
 		}
 	}
 }
+
+// Guards against a window that is shorter than the users': of two bursts of failures at the two ends of a window, the second is repeated as if
+// the first were over.
+func TestSharedBudgetHoldsForBurstsAtBothEndsOfAWindow(t *testing.T) {
+	for offset := range 20 {
+		for _, gap := range []time.Duration{9 * time.Second, 9550 * time.Millisecond, 9950 * time.Millisecond, 10 * time.Second} {
+			f := newFleetRun(uint64(offset))
+			first := time.Duration(20+offset)*fleetTick + 10*time.Second
+			f.play(30*time.Second, func(tick int) {
+				at := time.Duration(tick) * fleetTick
+				if tick%4 == 0 {
+					f.request(tick/4%fleetInstances, 0)
+				}
+				if at == first || at == first+gap {
+					for i := range f.budgets {
+						f.repeat(i, 100)
+					}
+				}
+			})
+			f.check(t)
+		}
+	}
+}
+
+// Guards against repeats that are counted before they arrive: those that wait for a connection reach the servers together with later ones.
+func TestSharedBudgetHoldsForRepeatsThatArriveLate(t *testing.T) {
+	for _, requestsPerTick := range []int{1, 10} {
+		f := newFleetRun(1)
+		f.maxDelay = 1200 * time.Millisecond
+		f.play(60*time.Second, func(tick int) {
+			for range requestsPerTick {
+				f.request(f.random.IntN(fleetInstances), 3)
+			}
+		})
+		f.check(t)
+	}
+}
--- a/internal/retry/shared_test.go
+++ b/internal/retry/shared_test.go
@@ -28,6 +28,7 @@
 				}
 				for range 3 {
 					if budget.Spend("desk", 1, now) {
+						budget.Arrived("desk", false, now)
 						extra[second]++
 					}
 				}
