--- a/internal/e2e/fleet_budget_test.go
+++ b/internal/e2e/fleet_budget_test.go
@@ -14,9 +14,6 @@
 	"github.com/cicadawall/cicadawall/internal/standin/retrycheck"
 )
 
-// retryBudget is the retry budget in the settings of the instances.
-var retryBudget = retrycheck.Budget{Ratio: 0.9, Slack: 50, Window: 10 * time.Second}
-
 const (
 	// budgetInstances is the number of instances of the users' first deployment.
 	budgetInstances = 7
@@ -112,7 +109,7 @@
 	b.stopped.Store(true)
 	b.callers.Wait()
 	repeats := retrycheck.Repeats(b.arrivalsAt("orders"))
-	worst := retryBudget.Worst(repeats, b.sent)
+	worst := b.options.retryBudget.Worst(repeats, b.sent)
 	b.t.Logf("%d requests, %d served, %d repeats; worst window: %s", len(b.sent), b.served, len(repeats), worst)
 	if worst.Excess > 0 {
 		b.t.Errorf("repeats exceed the retry budget: %s", worst)
--- a/internal/e2e/fleet_stop_test.go
+++ b/internal/e2e/fleet_stop_test.go
@@ -62,7 +62,7 @@
 // Guards against requests that a planned stop cuts off without an answer: an order that a server is still working on at the end of the grace
 // period, and one whose body arrives so late that it would be passed on and then cut off.
 func TestFleetStopAnswersLateRequests(t *testing.T) {
-	f := newFleetWithGracePeriod(t, 1, 3)
+	f := newFleetWithOptions(t, 1, fleetOptions{gracePeriod: 3 * time.Second})
 	i := f.instances[0]
 	for _, server := range f.servers {
 		server.SetFault(modelserver.FaultMute, -1)
--- a/internal/e2e/fleet_world_test.go
+++ b/internal/e2e/fleet_world_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/cicadawall/cicadawall/internal/standin/modelserver"
+	"github.com/cicadawall/cicadawall/internal/standin/retrycheck"
 	"github.com/cicadawall/cicadawall/internal/standin/rowstore"
 	"github.com/cicadawall/cicadawall/platform/wire"
 )
@@ -61,18 +62,29 @@
 	servers         []*fleetServer
 	instances       []*fleetInstance
 	manifestVersion int64
-	// gracePeriodSeconds is the grace period in the settings of instances that are started from now on.
-	gracePeriodSeconds int
+	options         fleetOptions
+}
+
+// fleetOptions are settings of the instances; zero values select the defaults.
+type fleetOptions struct {
+	gracePeriod time.Duration
+	retryBudget retrycheck.Budget
 }
 
 func newFleet(t *testing.T, instances int) *fleet {
 	t.Helper()
-	return newFleetWithGracePeriod(t, instances, 8)
+	return newFleetWithOptions(t, instances, fleetOptions{})
 }
 
-func newFleetWithGracePeriod(t *testing.T, instances, seconds int) *fleet {
+func newFleetWithOptions(t *testing.T, instances int, options fleetOptions) *fleet {
 	t.Helper()
-	f := &fleet{t: t, dir: t.TempDir(), store: rowstore.New(), gracePeriodSeconds: seconds}
+	if options.gracePeriod == 0 {
+		options.gracePeriod = 8 * time.Second
+	}
+	if options.retryBudget == (retrycheck.Budget{}) {
+		options.retryBudget = retrycheck.Budget{Ratio: 0.9, Slack: 50, Window: 10 * time.Second}
+	}
+	f := &fleet{t: t, dir: t.TempDir(), store: rowstore.New(), options: options}
 	storeServer := httptest.NewServer(f.store.Handler())
 	t.Cleanup(storeServer.CloseClientConnections)
 	f.storeAddress = storeServer.Listener.Addr().String()
@@ -151,9 +163,9 @@
 	}
 	text := strings.Join([]string{
 		"NodeName=" + name, "Zone=zone-a", "ListenAddresses.Front=" + i.callerAddress, "ListenAddresses.Ready=" + i.readinessAddress,
-		"ListenAddresses.Control=" + freeAddress(f.t), "Platform.Address=" + i.storeProxy.address(), fmt.Sprintf("Bounds.GracePeriodS=%d", f.gracePeriodSeconds),
-		fmt.Sprintf("Bounds.RetryBudgetRatio=%g", retryBudget.Ratio), fmt.Sprintf("Bounds.RetryBudgetSlack=%g", retryBudget.Slack),
-		fmt.Sprintf("Bounds.BudgetWindowS=%g", retryBudget.Window.Seconds()), "Bounds.ExposureShare=0.15",
+		"ListenAddresses.Control=" + freeAddress(f.t), "Platform.Address=" + i.storeProxy.address(), fmt.Sprintf("Bounds.GracePeriodS=%g", f.options.gracePeriod.Seconds()),
+		fmt.Sprintf("Bounds.RetryBudgetRatio=%g", f.options.retryBudget.Ratio), fmt.Sprintf("Bounds.RetryBudgetSlack=%g", f.options.retryBudget.Slack),
+		fmt.Sprintf("Bounds.BudgetWindowS=%g", f.options.retryBudget.Window.Seconds()), "Bounds.ExposureShare=0.15",
 		"Limits.MemoryMb=284", "Something.New=1", "",
 	}, "\n")
 	if err := os.WriteFile(i.settingsFile, []byte(text), 0o600); err != nil {
--- a/internal/e2e/soak_test.go
+++ b/internal/e2e/soak_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -14,19 +15,29 @@
 	"time"
 
 	"github.com/cicadawall/cicadawall/internal/standin/modelserver"
+	"github.com/cicadawall/cicadawall/internal/standin/retrycheck"
 	"github.com/cicadawall/cicadawall/internal/standin/rowstore"
 )
 
 const (
 	// soakSeedsVariable is the environment variable for the number of additional random seeds of a manual run, for example 50.
 	soakSeedsVariable = "CICADAWALL_SOAK_SEEDS"
-	soakInstances     = 3
-	soakCallers       = 6
-	soakFaults        = 10
+	// soakInstancesVariable is the environment variable for the number of instances of a manual run, for example 60.
+	soakInstancesVariable = "CICADAWALL_SOAK_INSTANCES"
+	soakInstances         = 3
+	// callersPerInstance and faultsPerInstance make larger runs as dense as small ones.
+	callersPerInstance = 2
+	faultsPerInstance  = 4
+	// soakPace is the pause of a caller between two requests. Without it, requests that are refused at once would be so many that they allow any
+	// number of repeats.
+	soakPace = 40 * time.Millisecond
 	// maxFaultInterval is the longest pause between the starts of two faults. Most faults last longer, so they overlap.
 	maxFaultInterval = 400 * time.Millisecond
 )
 
+// soakBudget is a retry budget that a service which refuses its requests uses up within the time of a fault.
+var soakBudget = retrycheck.Budget{Ratio: 0.2, Slack: 30, Window: 3 * time.Second}
+
 // soakRegression lists the seeds that every run uses, in CI too: seeds that once failed, each with its cause, and fixed ones.
 var soakRegression = []uint64{1, 2}
 
@@ -41,6 +52,8 @@
 	instanceLocks []sync.Mutex
 	mu            sync.Mutex
 	replies       map[string]reply
+	// sent holds the times at which requests for a service were sent.
+	sent map[string][]time.Time
 }
 
 // TestSoak injects faults from outside the processes and checks what callers and backend servers observe. A seed determines the
@@ -52,20 +65,24 @@
 			seeds = append(seeds, rand.Uint64())
 		}
 	}
+	instances := soakInstances
+	if count, err := strconv.Atoi(os.Getenv(soakInstancesVariable)); err == nil {
+		instances = count
+	}
 	for _, seed := range seeds {
-		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { runSoak(t, seed) })
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { runSoak(t, seed, instances) })
 	}
 }
 
-func runSoak(t *testing.T, seed uint64) {
+func runSoak(t *testing.T, seed uint64, instances int) {
 	s := &soak{
-		fleet: newFleet(t, soakInstances), random: rand.New(rand.NewPCG(seed, 0)), stopCallers: make(chan struct{}),
-		instanceLocks: make([]sync.Mutex, soakInstances), replies: map[string]reply{},
+		fleet: newFleetWithOptions(t, instances, fleetOptions{retryBudget: soakBudget}), random: rand.New(rand.NewPCG(seed, 0)), stopCallers: make(chan struct{}),
+		instanceLocks: make([]sync.Mutex, instances), replies: map[string]reply{}, sent: map[string][]time.Time{},
 	}
-	for caller := range soakCallers {
+	for caller := range callersPerInstance * instances {
 		s.callers.Go(func() { s.runCaller(caller) })
 	}
-	for range soakFaults {
+	for range faultsPerInstance * instances {
 		s.inject()
 		sleep(time.Duration(s.random.Int64N(int64(maxFaultInterval))))
 	}
@@ -78,8 +95,8 @@
 
 // runCaller sends requests over keep-alive connections, one at a time, to the instances in turn.
 func (s *soak) runCaller(caller int) {
-	kinds := []struct{ method, path string }{
-		{http.MethodPost, "/buy/x"}, {http.MethodGet, "/look/x"}, {http.MethodPost, "/chat/x"},
+	kinds := []struct{ method, path, service string }{
+		{http.MethodPost, "/buy/x", "orders"}, {http.MethodGet, "/look/x", "orders"}, {http.MethodPost, "/chat/x", "models"},
 	}
 	for n := 0; ; n++ {
 		select {
@@ -89,13 +106,15 @@
 		}
 		kind := kinds[(caller+n)%len(kinds)]
 		id := fmt.Sprintf("%s-%d", strings.Trim(kind.path, "/x"), s.lastRequest.Add(1))
-		got := s.send(s.instances[(caller+n/4)%soakInstances], kind.method, kind.path, id)
+		sent := time.Now()
+		got := s.send(s.instances[(caller+n/4)%len(s.instances)], kind.method, kind.path, id)
 		s.mu.Lock()
 		s.replies[id] = got
-		s.mu.Unlock()
-		if got.err != nil {
-			sleep(20 * time.Millisecond)
+		if !errors.Is(got.err, syscall.ECONNREFUSED) {
+			s.sent[kind.service] = append(s.sent[kind.service], sent)
 		}
+		s.mu.Unlock()
+		sleep(soakPace)
 	}
 }
 
@@ -103,7 +122,7 @@
 func (s *soak) inject() {
 	duration := time.Duration(300+s.random.IntN(1500)) * time.Millisecond
 	server := s.servers[s.random.IntN(len(s.servers))]
-	index := s.random.IntN(soakInstances)
+	index := s.random.IntN(len(s.instances))
 	instance := s.instances[index]
 	states := []linkState{linkStalled, linkResponsesStalled, linkReset}
 	state := states[s.random.IntN(len(states))]
@@ -125,7 +144,8 @@
 			undo()
 		}()
 	}
-	switch s.random.IntN(8) {
+	service := []string{"models", "orders"}[s.random.IntN(2)]
+	switch s.random.IntN(11) {
 	case 0:
 		server.link.setState(state)
 		endFaultWith(func() { server.link.setState(linkOpen) })
@@ -149,6 +169,48 @@
 		s.writeManifest(fleetKey, "key-"+strconv.Itoa(int(duration)))
 		s.store.DropHistory()
 		endFaultWith(func() {})
+	case 8:
+		// The retry budget binds only while a service refuses its requests for some time. Restarts meanwhile must not renew it.
+		duration *= 2
+		s.activeFaults.Add(1)
+		go s.restartInSeries(index, 2+times)
+		s.setFaultOfService(service, modelserver.FaultFull, -1)
+		endFaultWith(func() { s.setFaultOfService(service, modelserver.FaultNone, 0) })
+	case 9:
+		go s.restartInSeries(index, 2+times)
+	case 10:
+		s.reload(index, times)
+		endFaultWith(func() {})
+	}
+}
+
+func (s *soak) setFaultOfService(service string, fault modelserver.Fault, times int) {
+	for _, server := range s.servers {
+		if server.service == service {
+			server.SetFault(fault, times)
+		}
+	}
+}
+
+// restartInSeries kills an instance's process several times, each time while it starts or has just started.
+func (s *soak) restartInSeries(index, times int) {
+	for range times - 1 {
+		s.activeFaults.Add(1)
+		s.restart(index, syscall.SIGKILL)
+		sleep(maxFaultInterval / 2)
+	}
+	s.restart(index, syscall.SIGKILL)
+}
+
+// reload makes the instance read its settings again, several times in a row. A process that has not set up its signal handlers is left alone.
+func (s *soak) reload(index, times int) {
+	s.instanceLocks[index].Lock()
+	defer s.instanceLocks[index].Unlock()
+	if !returnsOK("http://" + s.instances[index].readinessAddress + "/-/readiness") {
+		return
+	}
+	for range times {
+		s.instances[index].process.signal(syscall.SIGHUP)
 	}
 }
 
@@ -211,6 +273,14 @@
 	if served == 0 {
 		s.t.Error("no request was served")
 	}
+	for service, sent := range s.sent {
+		repeats := retrycheck.Repeats(s.arrivalsAt(service))
+		worst := s.options.retryBudget.Worst(repeats, sent)
+		s.t.Logf("%s: %d requests, %d repeats; worst window: %s", service, len(sent), len(repeats), worst)
+		if worst.Excess > 0 {
+			s.t.Errorf("repeats at %s exceed the retry budget: %s", service, worst)
+		}
+	}
 }
 
 func (s *soak) checkOrder(id string, got reply, runs int) {
