--- a/internal/engine/plain_test.go
+++ b/internal/engine/plain_test.go
@@ -1,6 +1,9 @@
 package engine
 
 import (
+	"bufio"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -114,3 +117,41 @@
 		t.Errorf("short response afterwards: %+v, %v", response, err)
 	}
 }
+
+// Guards against a service that stops in the middle of its answer and closes the connection, whose answer is taken for a whole one.
+func TestPlainAnswerCutAtEveryByte(t *testing.T) {
+	const body = "printed"
+	for name, answer := range map[string]string{
+		"length":  "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 7\r\n\r\n" + body,
+		"chunks":  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\npri\r\n4;extension=1\r\nnted\r\n0\r\n\r\n",
+		"trailer": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: T\r\n\r\n7\r\nprinted\r\n0\r\nT: x\r\n\r\n",
+	} {
+		for cut := range len(answer) + 1 {
+			listener, err := net.Listen("tcp4", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			go func() {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				defer func() { _ = conn.Close() }()
+				if request, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+					_, _ = io.Copy(io.Discard, request.Body)
+					_, _ = io.WriteString(conn, answer[:cut])
+				}
+			}()
+			client := NewPlainClient(Options{})
+			response, err := client.Call(t.Context(), listener.Addr().String(), orderRequest(1))
+			if whole := err == nil; whole != (cut == len(answer)) || whole && string(response.Body) != body {
+				t.Errorf("%s, cut after %d of %d bytes: %+v, error %v", name, cut, len(answer), response, err)
+			}
+			if err != nil && asEngineError(t, err).NotRun() {
+				t.Errorf("%s, cut after %d of %d bytes: %v says that the call did not run", name, cut, len(answer), err)
+			}
+			client.Close()
+			_ = listener.Close()
+		}
+	}
+}
