Count extra attempts of a class for a whole window

With bursts of failures at both ends of a window, 36 extra attempts were made in a window with 200 requests, 19 are allowed.

The slot in which the window begins is kept too: its extra attempts count, its requests do not.

--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -40,7 +40,8 @@
 
 // classRow is the state of one class.
 type classRow struct {
-	slots           [budgetSlotCount]slot
+	// slots are those of the window and the one in which the window begins.
+	slots           [budgetSlotCount + 1]slot
 	lastUsed        time.Time
 	firstTokenTimes []time.Duration
 	nextSample      int
@@ -180,7 +181,7 @@
 // currentSlot returns the slot of the current second and resets it if it holds an older one.
 func (r *classRow) currentSlot(now time.Time) *slot {
 	number := slotNumber(now)
-	s := &r.slots[number%budgetSlotCount]
+	s := &r.slots[number%int64(len(r.slots))]
 	if s.number != number {
 		*s = slot{number: number}
 	}
@@ -190,7 +191,7 @@
 // previousSlot returns the slot of the previous second, with its requests scaled down linearly as the current second
 // elapses. The requests of the current second alone would allow no retry at the start of that second.
 func (r *classRow) previousSlot(now time.Time) slot {
-	s := r.slots[(slotNumber(now)-1)%budgetSlotCount]
+	s := r.slots[(slotNumber(now)-1)%int64(len(r.slots))]
 	if s.number != slotNumber(now)-1 {
 		return slot{}
 	}
@@ -199,11 +200,15 @@
 	return s
 }
 
+// windowTotals returns the requests and extra attempts of the window. It begins within the oldest slot, whose extra attempts are counted and
+// whose requests are not, so that no window exceeds the budget.
 func (r *classRow) windowTotals(now time.Time) (requests, extra int) {
 	oldest := slotNumber(now) - budgetSlotCount
 	for i := range r.slots {
 		if r.slots[i].number > oldest {
 			requests += r.slots[i].requests
+		}
+		if r.slots[i].number >= oldest {
 			extra += r.slots[i].extraAttempts
 		}
 	}
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -200,3 +200,31 @@
 		t.Error("a successful probe does not end the ejection")
 	}
 }
+
+// Guards against a window that forgets extra attempts up to a second too early: those of two bursts of failures at its two ends are both made
+// for the requests of the second burst.
+func TestBudgetCountsExtraAttemptsForAWholeWindow(t *testing.T) {
+	const requests = 200
+	window := budgetSlotCount * budgetSlotLength
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	budgets := NewBudgets()
+	spendAll := func(now time.Time) (spent int) {
+		for budgets.Spend("a", now) {
+			spent++
+		}
+		return spent
+	}
+	burst := func(now time.Time) {
+		for range requests {
+			budgets.CountRequest("a", now)
+		}
+	}
+	burst(start)
+	// The window of the two spends begins after the first burst of requests.
+	first := spendAll(start.Add(budgetSlotLength * 9 / 10))
+	burst(start.Add(window - budgetSlotLength/10))
+	second := spendAll(start.Add(window + budgetSlotLength/10))
+	if first == 0 || float64(first+second) > budgetRatio*requests {
+		t.Errorf("%d and %d extra attempts in a window with %d requests", first, second, requests)
+	}
+}
