Use no bound that the fleet shares while its size is unknown

An instance that had read no list of instances yet took itself for the only one. It used the whole exposure slack of a version on trial, and could try a held prompt although another instance tried it too.

Both now wait until a list of all instances was read from the store or a peer.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -136,6 +136,10 @@
 	return slices.Index(e.rankedAddresses(duty), e.Identity.PeerAddress)
 }
 
+// Leads reports whether this instance is the first in the rendezvous order for a duty. It is not as long as it has read no list of all
+// instances: several that start at once would each be first.
+func (e *Exchange) Leads(duty string) bool { return e.FleetSize() > 0 && e.Rank(duty) == 0 }
+
 // rankedAddresses returns the addresses of the reachable instances in the rendezvous order for a duty.
 func (e *Exchange) rankedAddresses(duty string) []string {
 	addresses := []string{e.Identity.PeerAddress}
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -165,7 +165,8 @@
 	})
 }
 
-// Guards against an instance that takes the whole slack of a bound on the fleet because it has not heard of its peers yet.
+// Guards against an instance that takes the whole slack of a bound on the fleet, or makes the only trial that the fleet allows, because it has
+// not heard of its peers yet.
 func TestFleetSizeIsUnknownBeforeAListWasRead(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n := newNetwork()
@@ -176,6 +177,9 @@
 		if got := node.FleetSize(); got != 0 {
 			t.Errorf("fleet size %d after a round without a list, want 0", got)
 		}
+		if lone := n.add("lone", false); lone.Rank("duty") != 0 || lone.Leads("duty") {
+			t.Errorf("an instance that knows no other one: rank %d, leads %t", lone.Rank("duty"), lone.Leads("duty"))
+		}
 		for range discoverRounds {
 			round(t, node)
 		}
--- a/internal/migration/completion_test.go
+++ b/internal/migration/completion_test.go
@@ -102,3 +102,23 @@
 		t.Errorf("%d of %d requests were sent to the new version, %.0f are allowed", exposed, all, allowed)
 	}
 }
+
+// Guards against an instance that takes the whole slack of the fleet while it does not know how many instances share it.
+func TestNoSlackWhileTheFleetIsUnknown(t *testing.T) {
+	const requests = 1000
+	order := Order{Service: service, Target: "v2", Duration: 12 * time.Second, Revision: 10}
+	for _, instances := range []int{0, 1} {
+		table := NewTable(0)
+		table.SetSlack(30, func() int { return instances })
+		table.AddOrder(order, 0, origin)
+		exposed := 0
+		for n := range requests {
+			if table.Choose(service, strconv.Itoa(n), true, origin.Add(order.Duration*9/10)).Use == "v2" {
+				exposed++
+			}
+		}
+		if known := instances > 0; known != (exposed > 0) {
+			t.Errorf("%d requests were sent to the new version with %d instances", exposed, instances)
+		}
+	}
+}
--- a/internal/migration/table.go
+++ b/internal/migration/table.go
@@ -67,8 +67,8 @@
 }
 
 // SetSlack allows a version on trial a number of sessionless requests in addition to the schedule, which the instances share. A service
-// with few requests would otherwise give too few answers to tell a good version from a bad one by the deadline. It must be called before the
-// table is used.
+// with few requests would otherwise give too few answers to tell a good version from a bad one by the deadline. While the number of
+// instances is 0, unknown, none are allowed. It must be called before the table is used.
 func (t *Table) SetSlack(slack float64, instances func() int) {
 	t.slack, t.instances = slack, instances
 }
@@ -78,7 +78,11 @@
 	if t.instances == nil {
 		return 0
 	}
-	return t.slack / float64(max(1, t.instances()))
+	instances := t.instances()
+	if instances < 1 {
+		return 0
+	}
+	return t.slack / float64(instances)
 }
 
 // AddOrder stores an order and reports whether it is new. Age is the time since it was given.
