--- a/internal/e2e/fleet_stop_test.go
+++ b/internal/e2e/fleet_stop_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/cicadawall/cicadawall/internal/standin/modelserver"
+	"github.com/cicadawall/cicadawall/internal/standin/rowstore"
 )
 
 const (
@@ -140,3 +141,27 @@
 		o.cut = append(o.cut, fmt.Sprintf("request %s was cut off: ran %t, kept connection %t, error %v, %+v", id, ran, kept, got.err, got))
 	}
 }
+
+// Guards against a planned stop that is lost because signals to reload the settings came in series before it, while the instance started.
+func TestFleetStopsAfterSeriesOfReloads(t *testing.T) {
+	const reloads = 12
+	f := newFleet(t, 1)
+	i := f.instances[0]
+	f.store.SetFault(rowstore.FaultSilent)
+	i.process.signal(syscall.SIGKILL)
+	i.process.waitForExit(startTimeout)
+	f.startInstanceProcess(i)
+	eventually(t, startTimeout, "the instance listens for readiness probes", func() bool {
+		conn, err := net.Dial("tcp4", i.readinessAddress)
+		if err == nil {
+			_ = conn.Close()
+		}
+		return err == nil
+	})
+	for range reloads {
+		i.process.signal(syscall.SIGHUP)
+		sleep(pollInterval / 4)
+	}
+	i.process.signal(syscall.SIGTERM)
+	i.process.waitForExit(startTimeout)
+}
