Let the instances of the soak use their slack before the faults

Instances use no slack of the retry budget for two windows after their start, so no run came near the bound.

--- a/internal/e2e/soak_test.go
+++ b/internal/e2e/soak_test.go
@@ -79,6 +79,8 @@
 		fleet: newFleetWithOptions(t, instances, fleetOptions{retryBudget: soakBudget}), random: rand.New(rand.NewPCG(seed, 0)), stopCallers: make(chan struct{}),
 		instanceLocks: make([]sync.Mutex, instances), replies: map[string]reply{}, sent: map[string][]time.Time{},
 	}
+	// Instances use no slack of the retry budget before; without it, the budget would be far from its bound.
+	sleep(2 * soakBudget.Window)
 	for caller := range callersPerInstance * instances {
 		s.callers.Go(func() { s.runCaller(caller) })
 	}
