--- a/internal/e2e/fleet_budget_test.go
+++ b/internal/e2e/fleet_budget_test.go
@@ -135,6 +135,14 @@
 	}
 }
 
+func (f *fleet) acceptAll(service string) {
+	for _, server := range f.servers {
+		if server.service == service {
+			server.SetFault(modelserver.FaultNone, 0)
+		}
+	}
+}
+
 // Guards against instances that forget what their earlier processes repeated, or each take the whole slack of the fleet when they start:
 // killed and started in series, together they exceed the retry budget.
 func TestFleetRetryBudgetHoldsWhileInstancesRestart(t *testing.T) {
@@ -182,3 +190,21 @@
 	}
 	b.end()
 }
+
+// Guards against instances that have run for long enough to use their parts of the slack and exceed the retry budget together: servers refuse
+// all requests in bursts at both ends of a window, and then all the while.
+func TestFleetRetryBudgetHoldsInBursts(t *testing.T) {
+	f := newFleet(t, budgetInstances)
+	b := startBudgetRun(f, 70)
+	window := f.options.retryBudget.Window
+	sleep(2 * window)
+	for _, pause := range []time.Duration{window * 86 / 100, window / 2} {
+		f.refuseAll("orders")
+		sleep(window / 10)
+		f.acceptAll("orders")
+		sleep(pause)
+	}
+	f.refuseAll("orders")
+	sleep(window)
+	b.end()
+}
