--- a/internal/retry/shared_fleet_test.go
+++ b/internal/retry/shared_fleet_test.go
@@ -56,9 +56,6 @@
 	})
 }
 
-// seconds returns the time since the start of the run.
-func (f *fleetRun) seconds() float64 { return f.now.Sub(f.start).Seconds() }
-
 // request sends a request to an instance and repeats it as often as wanted and allowed.
 func (f *fleetRun) request(i, wanted int) {
 	f.sent = append(f.sent, f.now)
