--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -62,11 +62,20 @@
 
 // Guards against a stream with missing or duplicated events, or with a premature end that looks like a normal one, after its
 // backend server broke the connection in the middle of an event.
-func TestFleetResumesStreams(t *testing.T) {
+func TestFleetResumesStreams(t *testing.T) { checkResumedStream(t, newFleet(t, 1)) }
+
+// Guards against the same at an instance that has run for long enough to use its slack of the retry budget.
+func TestFleetResumesStreamsWithSlack(t *testing.T) {
 	// An instance uses its slack of the retry budget, which allows the two repeats of a first request, two windows after its start.
 	budget := retrycheck.Budget{Ratio: 0.9, Slack: 50, Window: 500 * time.Millisecond}
 	f := newFleetWithOptions(t, 1, fleetOptions{retryBudget: budget})
 	sleep(2 * budget.Window)
+	checkResumedStream(t, f)
+}
+
+// checkResumedStream sends a stream that breaks at each server.
+func checkResumedStream(t *testing.T, f *fleet) {
+	t.Helper()
 	for _, server := range f.servers {
 		server.SetFault(modelserver.FaultBreak, 1)
 	}
