Place prompts by the load that all instances put on the servers

Change: routing.FleetPolicy scores a random sample of servers by queue, pending prompt work, relative speed and the streams that the prompt would delay; backend.Directory counts streams and pending work and reports its usage.

--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -52,6 +52,11 @@
 	invalidSignal bool
 	inFlight      int
 	pendingTokens int
+	// streaming counts the attempts whose answer has begun, pendingWork is pendingTokens in tokens of the largest model.
+	streaming   int
+	pendingWork int64
+	// speed is evidence on the server's speed that has not been reported.
+	speed         speedEvidence
 	health        health
 	cachedPrompts promptCache
 }
@@ -210,6 +215,12 @@
 	Prompt []PromptPart
 	// MaxInFlight is the limit of this instance's requests in flight on one server; zero means no limit.
 	MaxInFlight int
+	// CachedTokens is the number of prompt tokens that the chosen server probably holds beyond what this instance sent there.
+	CachedTokens int
+	// WorkWeight is the time that a prompt token of the model takes relative to one of the largest model.
+	WorkWeight float64
+	// ExpectedPrefill is the expected time until the prompt is prefilled at a server of mean speed; zero if it is not estimated.
+	ExpectedPrefill time.Duration
 }
 
 // Candidates returns the servers of the service in the form that the routing policy evaluates.
@@ -244,6 +255,8 @@
 		MaxInFlight:   q.MaxInFlight,
 		CachedTokens:  r.cachedPrompts.cachedTokens(q.Model, q.Prompt, now),
 		PendingTokens: r.pendingTokens,
+		Streaming:     r.streaming,
+		PendingWork:   r.pendingWork,
 		ResponseTime:  r.health.responseTime,
 		FailureRate:   r.health.decayedFailureRate(now),
 		Cold:          now.Before(r.coldUntil),
--- a/internal/backend/run.go
+++ b/internal/backend/run.go
@@ -13,7 +13,11 @@
 	prompt        []PromptPart
 	started       time.Time
 	pendingTokens int
-	ended         bool
+	pendingWork   int64
+	// expectedPrefill is the expected time until the prompt is prefilled; zero if it is not estimated.
+	expectedPrefill time.Duration
+	streaming       bool
+	ended           bool
 }
 
 // Begin starts an attempt at the server and adds it to the load. It returns false if the server is no longer in the table.
@@ -24,18 +28,25 @@
 	if !ok {
 		return nil, false
 	}
-	pending := max(0, PromptTokens(q.Prompt)-r.cachedPrompts.cachedTokens(q.Model, q.Prompt, now))
+	pending := max(0, PromptTokens(q.Prompt)-max(q.CachedTokens, r.cachedPrompts.cachedTokens(q.Model, q.Prompt, now)))
+	work := int64(float64(pending) * q.WorkWeight)
 	r.inFlight++
 	r.pendingTokens += pending
-	return &Attempt{Entry: r.entry, directory: d, row: r, model: q.Model, prompt: q.Prompt, started: now, pendingTokens: pending}, true
+	r.pendingWork += work
+	return &Attempt{Entry: r.entry, directory: d, row: r, model: q.Model, prompt: q.Prompt, started: now, pendingTokens: pending,
+		pendingWork: work, expectedPrefill: q.ExpectedPrefill}, true
 }
 
 // RecordPrefill records that the server has prefilled the prompt. It is called when the first token arrives.
 func (a *Attempt) RecordPrefill(now time.Time) {
 	a.directory.mu.Lock()
 	defer a.directory.mu.Unlock()
-	a.row.pendingTokens -= a.pendingTokens
-	a.pendingTokens = 0
+	a.releasePending()
+	if !a.ended && !a.streaming {
+		a.streaming = true
+		a.row.streaming++
+		a.row.speed.record(now.Sub(a.started), a.expectedPrefill)
+	}
 	if len(a.prompt) > 0 {
 		a.row.cachedPrompts.recordPrompt(a.model, a.prompt, now)
 	}
@@ -67,7 +78,10 @@
 	}
 	a.ended = true
 	a.row.inFlight--
-	a.row.pendingTokens -= a.pendingTokens
+	a.releasePending()
+	if a.streaming {
+		a.row.streaming--
+	}
 	switch result {
 	case ResultSuccess:
 		a.row.health.recordOutcome(false, now)
@@ -81,3 +95,10 @@
 	case ResultNeutral:
 	}
 }
+
+// releasePending removes the attempt's prompt from the pending work of the server.
+func (a *Attempt) releasePending() {
+	a.row.pendingTokens -= a.pendingTokens
+	a.row.pendingWork -= a.pendingWork
+	a.pendingTokens, a.pendingWork = 0, 0
+}
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -6,19 +6,17 @@
 
 	"github.com/cicadawall/cicadawall/internal/backend"
 	"github.com/cicadawall/cicadawall/internal/routing"
+	"github.com/cicadawall/cicadawall/internal/serverload"
 )
 
 // chooseServer applies the routing policy. If no server is eligible it also considers, step by step, servers that were tried
 // before, ejected servers, and servers of another version.
 func (r *requestJob) chooseServer(candidates []routing.Candidate, now time.Time) routing.Choice {
 	preference := r.gateway.Versions.Choose(r.service.Name, r.request.sessionID(), len(r.request.Prompt) == 0, now)
-	policy := routing.PlainPolicy()
-	if r.route.HasPrompt {
-		policy = routing.PromptPolicy()
-	}
+	policy := r.policy(candidates, now)
 	request := routing.Request{
 		Zone: r.gateway.AvailabilityZone, Exclude: r.triedServers, RequiredSoftware: preference.Use, ExcludedSoftware: preference.Withdrawn,
-		PromptTokens: backend.PromptTokens(r.request.Prompt),
+		PromptTokens: backend.PromptTokens(r.request.Prompt), WorkWeight: r.service.workWeight(r.model), TargetGap: r.route.TargetGap,
 	}
 	if preference.Avoid != "" {
 		request.ExcludedSoftware = append(slices.Clone(request.ExcludedSoftware), preference.Avoid)
@@ -46,6 +44,34 @@
 	return choice
 }
 
+// policy returns the policy by which a server is chosen. If the load that all instances put on the servers is known, it sets that load in the
+// candidates.
+func (r *requestJob) policy(candidates []routing.Candidate, now time.Time) routing.Policy {
+	if !r.route.HasPrompt {
+		return routing.PlainPolicy()
+	}
+	view := r.loadView(now)
+	if view == nil {
+		return routing.PromptPolicy()
+	}
+	for i := range candidates {
+		if s, ok := view.Servers[candidates[i].ID]; ok {
+			candidates[i].Fleet = routing.FleetLoad{
+				Running: s.Running, Streaming: s.Streaming, PendingWork: s.PendingWork, Slowdown: s.Slowdown,
+			}
+		}
+	}
+	return routing.FleetPolicy()
+}
+
+// loadView returns the load that the other instances put on the servers; nil if it is unknown or not used for the service.
+func (r *requestJob) loadView(now time.Time) *serverload.View {
+	if !r.service.sharesLoad(r.gateway.InstanceCount()) {
+		return nil
+	}
+	return r.gateway.Loads.View(now)
+}
+
 // maxInFlight returns this instance's share of a server's connections, doubled because the load on instances is uneven.
 func (r *requestJob) maxInFlight() int {
 	if r.service.MaxConnections == 0 {
--- a/internal/gateway/configuration.go
+++ b/internal/gateway/configuration.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -67,8 +68,27 @@
 	MaxConnections int
 	// ModelCosts is the cost of 1,000 generated tokens by model.
 	ModelCosts map[string]float64
+	// EngineSlots is the number of requests that the engine of one server runs in a batch; zero for a service without an engine.
+	EngineSlots int
 }
 
+// workWeight returns the time that a token of the model takes relative to one of the largest model. Costs are declared in proportion to the
+// time of the servers.
+func (s *Service) workWeight(model string) float64 {
+	largest := 0.0
+	for _, cost := range s.ModelCosts {
+		largest = max(largest, cost)
+	}
+	if cost := s.ModelCosts[model]; cost > 0 {
+		return cost / largest
+	}
+	return 1
+}
+
+// sharesLoad reports whether the instances tell each other the load of the servers. With more instances than slots, most servers run less than
+// one request of an instance, so that its own requests say little about the load of a server.
+func (s *Service) sharesLoad(instances int) bool { return s.EngineSlots > 0 && s.EngineSlots < instances }
+
 // Organisation is a customer with its API keys.
 type Organisation struct {
 	Name string
@@ -100,6 +120,11 @@
 	keys     map[string]*Organisation
 }
 
+// SharesLoad reports whether the instances of a fleet of this size tell each other the load of the servers of some service.
+func (c *Configuration) SharesLoad(instances int) bool {
+	return slices.ContainsFunc(c.Services, func(s Service) bool { return s.sharesLoad(instances) })
+}
+
 // Compile builds the lookup maps and returns the configuration.
 func (c *Configuration) Compile() *Configuration {
 	c.hosts = map[string][]*Route{}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/cicadawall/cicadawall/internal/fault"
 	"github.com/cicadawall/cicadawall/internal/migration"
 	"github.com/cicadawall/cicadawall/internal/retry"
+	"github.com/cicadawall/cicadawall/internal/serverload"
 	"github.com/cicadawall/cicadawall/internal/worker"
 )
 
@@ -54,6 +55,7 @@
 	Crashes          *crashguard.Table
 	RetryBudget      *retry.SharedBudget
 	InstanceCount    func() int
+	Loads            *serverload.Table
 	Metrics          *Metrics
 	Log              *slog.Logger
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -191,7 +191,8 @@
 		r.finishUnanswered()
 		return nil, false
 	}
-	query := backend.Query{Service: r.service.Name, Model: r.model, Prompt: r.request.Prompt, MaxInFlight: r.maxInFlight()}
+	query := backend.Query{Service: r.service.Name, Model: r.model, Prompt: r.request.Prompt, MaxInFlight: r.maxInFlight(),
+		WorkWeight: r.service.workWeight(r.model)}
 	candidates := r.gateway.Directory.Candidates(query, now)
 	choice := r.chooseServer(candidates, now)
 	if !choice.Found {
@@ -199,6 +200,9 @@
 		r.finishUnanswered()
 		return nil, false
 	}
+	if r.loadView(now) != nil {
+		query.CachedTokens, query.ExpectedPrefill = choice.CachedTokens, choice.ExpectedPrefill
+	}
 	server, ok := r.gateway.Directory.Begin(choice.Server, query, now)
 	if !ok {
 		r.finishUnanswered()
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -48,6 +48,12 @@
 	CachedTokens int
 	// PendingTokens counts the prompt tokens sent to the server whose prefill has not finished.
 	PendingTokens int
+	// Streaming counts this instance's requests on the server whose answer has begun, PendingWork is PendingTokens in tokens of the
+	// largest model.
+	Streaming   int
+	PendingWork int64
+	// Fleet is the load that the other instances put on the server; zero if it is unknown.
+	Fleet FleetLoad
 	// ResponseTime is the moving average of the server's response time; zero if none was measured.
 	ResponseTime time.Duration
 	// FailureRate is the fraction of recent attempts that failed; it decays with time.
@@ -94,6 +100,10 @@
 	ExcludedSoftware []string
 	// PromptTokens is the length of the prompt in tokens.
 	PromptTokens int
+	// WorkWeight is the time that a prompt token of the request's model takes relative to one of the largest model.
+	WorkWeight float64
+	// TargetGap is the target for the longest pause between two events of a stream; zero if there is none.
+	TargetGap time.Duration
 }
 
 // Filter accepts a candidate or names the reason for dropping it.
@@ -140,6 +150,10 @@
 	Found  bool
 	// Score is the estimated time before the first token relative to an idle server in the same zone.
 	Score time.Duration
+	// CachedTokens is the number of prompt tokens that the server probably holds, ExpectedPrefill the time until the prompt is prefilled at
+	// a server of mean speed.
+	CachedTokens    int
+	ExpectedPrefill time.Duration
 	// Eligible is the number of candidates that passed the filters.
 	Eligible int
 }
@@ -188,7 +202,8 @@
 	}
 	score := func(c *Candidate) time.Duration { return p.score(c, &r, now) }
 	picked := p.Picker.Pick(eligible, score, rng)
-	return Choice{Server: picked.ID, Found: true, Score: score(picked), Eligible: len(eligible)}, verdicts
+	return Choice{Server: picked.ID, Found: true, Score: score(picked), Eligible: len(eligible), CachedTokens: picked.CachedTokens,
+		ExpectedPrefill: picked.ExpectedPrefill(&r)}, verdicts
 }
 
 // AnyEligible reports whether some candidate passes the filters. It is cheaper than Choose, which compares the candidates.
