Share the load of backend servers between instances

An instance of a large fleet has less than one request at most servers, so its own count says little about their load. Instances now report their usage to a relay of their availability zone and get the load from all others; relays pull each other's sums. Nothing is sent yet, because no usage is reported to the table.

--- a/internal/api/peer.gen.go
+++ b/internal/api/peer.gen.go
@@ -249,6 +249,36 @@
 	StartedUnixMilli int64  `json:"startedUnixMilli,omitempty" yaml:"startedUnixMilli,omitempty"`
 }
 
+// GatewayLoads Load that the other instances put on the backend servers, or the sums of the reports that the sender received itself.
+type GatewayLoads struct {
+	// AgeMillis Age of the oldest part in milliseconds.
+	AgeMillis   int64  `json:"ageMillis" yaml:"ageMillis"`
+	Incarnation string `json:"incarnation" yaml:"incarnation"`
+
+	// Partial Whether the sender has collected reports for too short a time to know all loads; it then sends none.
+	Partial bool `json:"partial,omitempty" yaml:"partial,omitempty"`
+
+	// SlowdownPercent Observed relative to expected time at each server in percent, in a view; absent if it is 100 for all.
+	SlowdownPercent []int `json:"slowdown,omitempty" yaml:"slowdown,omitempty"`
+
+	// Usage Parallel arrays with one element for each backend server that there is something to say about.
+	Usage GatewayUsage `json:"usage,omitempty" yaml:"usage,omitempty"`
+}
+
+// GatewayLoadsQuery Report of an instance to a relay about its use of the backend servers, or request of a relay for the sums of another one.
+type GatewayLoadsQuery struct {
+	Incarnation string `json:"incarnation" yaml:"incarnation"`
+
+	// Sequence Number of the report, which grows with each one.
+	Sequence int64 `json:"sequence,omitempty" yaml:"sequence,omitempty"`
+
+	// Sums Whether the sums of the receiver are requested instead of a view; the query then holds no report.
+	Sums bool `json:"sums,omitempty" yaml:"sums,omitempty"`
+
+	// Usage Parallel arrays with one element for each backend server that there is something to say about.
+	Usage GatewayUsage `json:"usage,omitempty" yaml:"usage,omitempty"`
+}
+
 // GatewayMigration Migration of a service to a target version as the sender knows it.
 type GatewayMigration struct {
 	// AgeMillis Time since the migration was ordered in milliseconds.
@@ -376,6 +406,27 @@
 	ServersRowVersion int64 `json:"serversRow,omitempty" yaml:"serversRow,omitempty"`
 }
 
+// GatewayUsage Parallel arrays with one element for each backend server that there is something to say about.
+type GatewayUsage struct {
+	// LogSlowdownThousandths Sum of the natural logarithms of observed over expected times, in thousandths; absent if there are no observations.
+	LogSlowdownThousandths []int64 `json:"logs,omitempty" yaml:"logs,omitempty"`
+
+	// PendingWork Prompt work that is not prefilled yet, in weighted tokens.
+	PendingWork []int64 `json:"pending,omitempty" yaml:"pending,omitempty"`
+
+	// Running Requests that were sent and have not ended.
+	Running []int `json:"running,omitempty" yaml:"running,omitempty"`
+
+	// SampleHundredths Observations of the speed, in hundredths because sums decay; absent if there are none.
+	SampleHundredths []int64 `json:"samples,omitempty" yaml:"samples,omitempty"`
+
+	// Servers Identifiers, in ascending order.
+	Servers []string `json:"servers,omitempty" yaml:"servers,omitempty"`
+
+	// Streaming Of these, the ones whose answer has begun.
+	Streaming []int `json:"streaming,omitempty" yaml:"streaming,omitempty"`
+}
+
 // GatewayVersion Last known event of a software version of a service, which is its order, its completion or its rollback.
 type GatewayVersion struct {
 	// Revision Revision of the event.
--- a/internal/architecture/architecture_test.go
+++ b/internal/architecture/architecture_test.go
@@ -29,7 +29,7 @@
 var transportFreePackages = []string{
 	"internal/billing", "internal/configsync", "internal/declaration", "internal/dispatch", "internal/exchange", "internal/fleet",
 	"internal/gateway", "internal/lease",
-	"internal/membership", "internal/order", "internal/quality", "internal/rowfeed", "internal/session", "internal/status", "internal/table",
+	"internal/membership", "internal/order", "internal/quality", "internal/rowfeed", "internal/serverload", "internal/session", "internal/status", "internal/table",
 }
 
 var wirePackages = []string{"encoding/json", "net/http", "github.com/labstack/echo/v4", module + "internal/server", module + "internal/httpsend"}
--- a/internal/exchange/relays.go
+++ b/internal/exchange/relays.go
@@ -38,6 +38,28 @@
 	return count
 }
 
+// OtherRelays returns the addresses of the relays of all availability zones except this instance; in a small fleet these are all reachable
+// peers.
+func (e *Exchange) OtherRelays() []string { return otherRelays(e.Identity, e.reachablePeers()) }
+
+func otherRelays(self api.GatewayInstance, peers []api.GatewayInstance) []string {
+	var addresses []string
+	if 1+len(peers) <= directFleetSize {
+		for _, peer := range peers {
+			addresses = append(addresses, peer.PeerAddress)
+		}
+		return addresses
+	}
+	zones := map[string][]api.GatewayInstance{}
+	for _, instance := range append(peers, self) {
+		zones[instance.AvailabilityZone] = append(zones[instance.AvailabilityZone], instance)
+	}
+	for _, members := range zones {
+		addresses = append(addresses, relaysOfZone(members)...)
+	}
+	return slices.DeleteFunc(addresses, func(address string) bool { return address == self.PeerAddress })
+}
+
 // assignRelays chooses the relays of an instance. Half of the instances of an availability zone prefer one relay, half the other one.
 func assignRelays(self api.GatewayInstance, peers []api.GatewayInstance) rowfeed.Relays {
 	if 1+len(peers) <= directFleetSize {
--- a/internal/lockorder/order.go
+++ b/internal/lockorder/order.go
@@ -12,6 +12,7 @@
 	RankConfiguration  Rank = 10
 	RankPeers          Rank = 20
 	RankBackendServers Rank = 30
+	RankServerLoads    Rank = 33
 	RankPrefixIndex    Rank = 35
 	RankVersions       Rank = 40
 	RankCrashes        Rank = 45
--- a/internal/server/gatewayhttp/gatewayhttp.go
+++ b/internal/server/gatewayhttp/gatewayhttp.go
@@ -65,8 +65,8 @@
 	Rows(ctx context.Context, query api.GatewayRowsQuery) (api.GatewayRows, error)
 }
 
-// PeerHandler returns the handler of the peer address: state, configuration and metrics.
-func PeerHandler(source StateSource, metrics *telemetry.Metrics) http.Handler {
+// PeerHandler returns the handler of the peer address: state, configuration, loads and metrics.
+func PeerHandler(source StateSource, loads LoadSource, metrics *telemetry.Metrics) http.Handler {
 	e := newEcho()
 	encoder := newRowsEncoder()
 	compress := middleware.GzipWithConfig(middleware.GzipConfig{Level: gzip.BestSpeed, MinLength: minCompressedBytes})
@@ -88,6 +88,7 @@
 		}
 		return encoder.write(c, query, rows)
 	})
+	e.POST(loadsPath, loadsHandler(loads, metrics))
 	e.GET(configurationPath, func(c echo.Context) error {
 		document := source.Document()
 		if document == nil {
@@ -173,6 +174,11 @@
 	if err != nil {
 		return 0, nil, errors.Wrap(err, "encode query")
 	}
+	return c.postBody(ctx, address, path, body)
+}
+
+// postBody sends encoded JSON and returns the status and the body of the answer.
+func (c *Client) postBody(ctx context.Context, address, path string, body []byte) (int, []byte, error) {
 	head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nAccept-Encoding: gzip\r\nContent-Length: %d\r\n\r\n", path, address, len(body))
 	return c.send(ctx, httpconn.Request{Address: address, Method: http.MethodPost, Head: []byte(head), Body: body})
 }
--- a/internal/server/gatewayhttp/rows_test.go
+++ b/internal/server/gatewayhttp/rows_test.go
@@ -32,7 +32,7 @@
 	source := &fakeSource{rows: api.GatewayRows{Version: 9, ClockMillis: 1500, Rows: []api.GatewayRow{
 		{Key: "a", Version: 8, Value: []byte("value")}, {Key: "b", Version: 9, Deleted: true},
 	}}}
-	server := httptest.NewServer(PeerHandler(source, telemetry.NewMetrics()))
+	server := httptest.NewServer(PeerHandler(source, nil, telemetry.NewMetrics()))
 	defer server.Close()
 	address := server.Listener.Addr().String()
 	client := NewClient()
