--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -17,6 +17,7 @@
 	"github.com/cicadawall/cicadawall/internal/fault"
 	"github.com/cicadawall/cicadawall/internal/migration"
 	"github.com/cicadawall/cicadawall/internal/retry"
+	"github.com/cicadawall/cicadawall/internal/serverload"
 	"github.com/cicadawall/cicadawall/internal/telemetry"
 )
 
@@ -176,7 +177,8 @@
 		RetryBudget: retry.NewSharedBudget(retry.SharedBudgetOptions{
 			Ratio: 0.9, Slack: 20, Window: 10 * time.Second, Instances: func() int { return 1 }, Log: log,
 		}),
-		InstanceCount: func() int { return 1 }, Metrics: NewMetrics(telemetry.NewMetrics()), Log: log,
+		InstanceCount: func() int { return 1 }, Loads: serverload.NewTable("test", serverload.Options{}),
+		Metrics: NewMetrics(telemetry.NewMetrics()), Log: log,
 	})
 }
 
