Log the load of the chosen backend server

Cause: an operator could not see on what load a choice rested. Change: one line with the age of the view, the load, the relative speed and the cached tokens, next to the line of the attempt. Result: no change of behaviour.

--- a/internal/gateway/configuration.go
+++ b/internal/gateway/configuration.go
@@ -87,7 +87,9 @@
 
 // sharesLoad reports whether the instances tell each other the load of the servers. With more instances than slots, most servers run less than
 // one request of an instance, so that its own requests say little about the load of a server.
-func (s *Service) sharesLoad(instances int) bool { return s.EngineSlots > 0 && s.EngineSlots < instances }
+func (s *Service) sharesLoad(instances int) bool {
+	return s.EngineSlots > 0 && s.EngineSlots < instances
+}
 
 // Organisation is a customer with its API keys.
 type Organisation struct {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -200,7 +200,8 @@
 		r.finishUnanswered()
 		return nil, false
 	}
-	if r.loadView(now) != nil {
+	view := r.loadView(now)
+	if view != nil {
 		query.CachedTokens, query.ExpectedPrefill = choice.CachedTokens, choice.ExpectedPrefill
 	}
 	server, ok := r.gateway.Directory.Begin(choice.Server, query, now)
@@ -213,6 +214,12 @@
 	r.log("attempt started", "server", choice.Server, "version", server.Entry.Software, "model", r.model,
 		"number", r.sentAttempts+r.unsentAttempts, "configuration", r.configuration.Version,
 		"candidates", len(candidates), "eligible", choice.Eligible, "score_ms", choice.Score.Milliseconds(), "after", r.lastEventID)
+	if view != nil {
+		load := view.Servers[choice.Server]
+		r.log("load of the chosen backend server", "server", choice.Server, "view_age_ms", view.Age(now).Milliseconds(),
+			"running", load.Running, "streaming", load.Streaming, "pending_tokens", load.PendingWork, "slowdown", load.Slowdown,
+			"cached_tokens", choice.CachedTokens, "prefill_ms", choice.ExpectedPrefill.Milliseconds())
+	}
 	return server, true
 }
 
