Escalate by the load of the largest model's servers

Cause: the threshold of confidence followed an average of earlier delays, also while the servers of the largest model were overloaded.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -9,6 +9,20 @@
 	"github.com/cicadawall/cicadawall/internal/serverload"
 )
 
+// chooseFor returns the server that an attempt with the model would use now, without the tried ones.
+func (r *requestJob) chooseFor(model string, tried []string, now time.Time) routing.Choice {
+	chosenModel, triedServers := r.model, r.triedServers
+	defer func() { r.model, r.triedServers = chosenModel, triedServers }()
+	r.model, r.triedServers = model, tried
+	return r.chooseServer(r.gateway.Directory.Candidates(r.query(), now), now)
+}
+
+// query describes an attempt with the current model.
+func (r *requestJob) query() backend.Query {
+	return backend.Query{Service: r.service.Name, Model: r.model, Prompt: r.request.Prompt, MaxInFlight: r.maxInFlight(),
+		WorkWeight: r.service.workWeight(r.model)}
+}
+
 // chooseServer applies the routing policy. If no server is eligible it also considers, step by step, servers that were tried
 // before, ejected servers, and servers of another version.
 func (r *requestJob) chooseServer(candidates []routing.Candidate, now time.Time) routing.Choice {
--- a/internal/gateway/models.go
+++ b/internal/gateway/models.go
@@ -6,24 +6,15 @@
 	"time"
 
 	"github.com/cicadawall/cicadawall/internal/backend"
+	"github.com/cicadawall/cicadawall/internal/escalation"
 	"github.com/cicadawall/cicadawall/internal/lockorder"
 	"github.com/cicadawall/cicadawall/internal/routing"
 )
 
 const (
-	// minAcceptedConfidence is the lowest confidence at which the answer of a smaller model is accepted. At 50 a model is as
-	// likely right as wrong; the threshold is higher because a wrong answer costs more than another run.
-	minAcceptedConfidence = 55
-	// minLateConfidence replaces minAcceptedConfidence if the answer of the largest model would certainly be late. A less certain answer
-	// in time then serves the caller better than a good one too late or never, and the servers of the largest model recover.
-	minLateConfidence = 15
 	// maxLargerRefusals is the number of servers that may refuse the larger model before the request returns to the smaller one. One more
 	// attempt is left then (maxSentAttempts).
 	maxLargerRefusals = 2
-	// onTimeRatio and lateRatio are the ratios of the expected delay of the largest model to the time left until the target at which
-	// its answer is probably in time and certainly late.
-	onTimeRatio = 0.6
-	lateRatio   = 1.5
 	// firstEventWeight is the weight of a new attempt in the moving average of a model's delay.
 	firstEventWeight = 0.1
 	// escalationBudgetFraction is the fraction of the retry budget that escalations may use; the rest is reserved for retries
@@ -176,14 +167,19 @@
 	r.gateway.models.addWork(r.service, r.model, decodeTokenWork*r.request.OutputTokens, now)
 }
 
-// acceptedConfidence returns the lowest confidence at which the answer of a smaller model is accepted, given the expected delay of
-// the largest model and the time left until the target. It falls while the servers of the largest model are overloaded.
-func acceptedConfidence(expectedDelay, timeLeft time.Duration) int {
-	if timeLeft <= 0 {
-		return minLateConfidence
+// escalationState returns what the decision to drop an answer for the largest model rests on.
+func (r *requestJob) escalationState(largest string, now time.Time) escalation.State {
+	state := escalation.State{
+		ExpectedDelay: r.gateway.models.expectedDelay(r.service, largest, now),
+		TimeLeft:      r.route.TargetLatency - now.Sub(r.request.Arrived), Priority: r.priority,
 	}
-	lateness := (float64(expectedDelay)/float64(timeLeft) - onTimeRatio) / (lateRatio - onTimeRatio)
-	return minAcceptedConfidence - int(min(1, max(0, lateness))*(minAcceptedConfidence-minLateConfidence))
+	if r.loadView(now) == nil {
+		return state
+	}
+	if choice := r.chooseFor(largest, nil, now); choice.Found {
+		state.ExpectedDelay, state.FleetLoad = choice.Score, true
+	}
+	return state
 }
 
 // escalate reports whether the answer is discarded because of its low confidence; the next attempt then uses the largest model.
@@ -198,13 +194,13 @@
 	}
 	now := time.Now()
 	largest := models[len(models)-1]
-	expectedDelay := r.gateway.models.expectedDelay(r.service, largest, now)
-	threshold := minAcceptedConfidence
+	state := r.escalationState(largest, now)
+	threshold := escalation.MinConfidence
 	if r.route.TargetLatency > 0 {
-		threshold = acceptedConfidence(expectedDelay, r.route.TargetLatency-now.Sub(r.request.Arrived))
+		threshold = escalation.Threshold(state)
 	}
 	r.log("confidence of the answer checked", "model", r.model, "confidence", reply.Confidence, "threshold", threshold,
-		"expected_ms", expectedDelay.Milliseconds(), "server", server.Entry.ID)
+		"expected_ms", state.ExpectedDelay.Milliseconds(), "server", server.Entry.ID)
 	if reply.Confidence < 0 || reply.Confidence >= threshold {
 		return false
 	}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -191,8 +191,7 @@
 		r.finishUnanswered()
 		return nil, false
 	}
-	query := backend.Query{Service: r.service.Name, Model: r.model, Prompt: r.request.Prompt, MaxInFlight: r.maxInFlight(),
-		WorkWeight: r.service.workWeight(r.model)}
+	query := r.query()
 	candidates := r.gateway.Directory.Candidates(query, now)
 	choice := r.chooseServer(candidates, now)
 	if !choice.Found {
