Test the shared loads, and send lists of servers only when they change

Cause: a view of 1,100 servers took 28 KB, mostly identifiers, and its compression cost the relay more time than all else; a moved instance counted twice for up to 2 s. Change: an answer leaves out the list of servers that its receiver has; evidence of speeds is pulled every tenth round; an instance that moves replaces its report at the former relay by an empty one; the compressed answer contained only the header of the compression.

--- a/internal/api/peer.gen.go
+++ b/internal/api/peer.gen.go
@@ -255,27 +255,35 @@
 	AgeMillis   int64  `json:"ageMillis" yaml:"ageMillis"`
 	Incarnation string `json:"incarnation" yaml:"incarnation"`
 
+	// List Fingerprint of the list of servers to which the arrays belong. The list itself is absent if the query holds this fingerprint.
+	List int64 `json:"list,omitempty" yaml:"list,omitempty"`
+
 	// Partial Whether the sender has collected reports for too short a time to know all loads; it then sends none.
 	Partial bool `json:"partial,omitempty" yaml:"partial,omitempty"`
 
 	// SlowdownPercent Observed relative to expected time at each server in percent, in a view; absent if it is 100 for all.
 	SlowdownPercent []int `json:"slowdown,omitempty" yaml:"slowdown,omitempty"`
 
-	// Usage Parallel arrays with one element for each backend server that there is something to say about.
+	// Usage Parallel arrays with one element for each backend server.
 	Usage GatewayUsage `json:"usage,omitempty" yaml:"usage,omitempty"`
 }
 
 // GatewayLoadsQuery Report of an instance to a relay about its use of the backend servers, or request of a relay for the sums of another one.
 type GatewayLoadsQuery struct {
+	// Evidence Whether the sums are to contain the observations of the speed, which change slowly.
+	Evidence    bool   `json:"evidence,omitempty" yaml:"evidence,omitempty"`
 	Incarnation string `json:"incarnation" yaml:"incarnation"`
 
+	// List Fingerprint of the list of servers in the last answer of the receiver; absent if there is none.
+	List int64 `json:"list,omitempty" yaml:"list,omitempty"`
+
 	// Sequence Number of the report, which grows with each one.
 	Sequence int64 `json:"sequence,omitempty" yaml:"sequence,omitempty"`
 
 	// Sums Whether the sums of the receiver are requested instead of a view; the query then holds no report.
 	Sums bool `json:"sums,omitempty" yaml:"sums,omitempty"`
 
-	// Usage Parallel arrays with one element for each backend server that there is something to say about.
+	// Usage Parallel arrays with one element for each backend server.
 	Usage GatewayUsage `json:"usage,omitempty" yaml:"usage,omitempty"`
 }
 
@@ -406,7 +414,7 @@
 	ServersRowVersion int64 `json:"serversRow,omitempty" yaml:"serversRow,omitempty"`
 }
 
-// GatewayUsage Parallel arrays with one element for each backend server that there is something to say about.
+// GatewayUsage Parallel arrays with one element for each backend server.
 type GatewayUsage struct {
 	// LogSlowdownThousandths Sum of the natural logarithms of observed over expected times, in thousandths; absent if there are no observations.
 	LogSlowdownThousandths []int64 `json:"logs,omitempty" yaml:"logs,omitempty"`
--- a/internal/exchange/relays_test.go
+++ b/internal/exchange/relays_test.go
@@ -59,3 +59,25 @@
 		}
 	}
 }
+
+// Guards against relays that do not pull from each other, whose instances would not see each other's loads, and against instances that
+// pull from themselves.
+func TestRelaysKnowEachOther(t *testing.T) {
+	for _, fleet := range [][]api.GatewayInstance{fleetOf(6, 50), fleetOf(3, 1), fleetOf(18, 1)} {
+		relays := map[string]bool{}
+		for i := range fleet {
+			relays[fleet[i].PeerAddress] = relaysOf(fleet, i).Direct
+		}
+		for i := range fleet {
+			others := map[string]bool{fleet[i].PeerAddress: relays[fleet[i].PeerAddress]}
+			for _, address := range otherRelays(fleet[i], append(append([]api.GatewayInstance{}, fleet[:i]...), fleet[i+1:]...)) {
+				others[address] = address != fleet[i].PeerAddress
+			}
+			for address, relay := range relays {
+				if others[address] != relay {
+					t.Fatalf("%s: relay %t, pulled by %s: %t", address, relay, fleet[i].PeerAddress, others[address])
+				}
+			}
+		}
+	}
+}
--- a/internal/server/gatewayhttp/loads.go
+++ b/internal/server/gatewayhttp/loads.go
@@ -20,6 +20,8 @@
 	loadsPath = "/peer/v1/gateway/loads"
 	// maxReportBytes bounds a query about loads: a report of 512 servers takes up to 160 KB with identifiers of the longest length.
 	maxReportBytes = 256 << 10
+	// minCompressedLoads is the length from which an answer about loads may be compressed.
+	minCompressedLoads = 1 << 10
 	// loadBytesMetric counts the bytes of the bodies of queries and answers about loads.
 	loadBytesMetric = "cicadawall_load_bytes_sent_total"
 )
@@ -51,7 +53,7 @@
 		case err != nil:
 			return echo.NewHTTPError(http.StatusBadRequest, err.Error())
 		}
-		body, compressed, err := encodeLoads(loads)
+		body, compressed, err := encodeLoads(loads, query.Sums)
 		if err != nil {
 			return err
 		}
@@ -63,10 +65,11 @@
 	}
 }
 
-// encodeLoads encodes an answer and compresses it if that is worth it.
-func encodeLoads(loads api.GatewayLoads) ([]byte, bool, error) {
-	body, err := json.Marshal(loads)
-	if err != nil || len(body) < minCompressedBytes {
+// encodeLoads encodes an answer. Sums, which mostly go to another availability zone, and lists of servers, which are sent once, are
+// compressed; a relay makes some hundred views a second, which would cost it more time than the bytes within the zone are worth.
+func encodeLoads(loads api.GatewayLoads, sums bool) (body []byte, compressed bool, err error) {
+	body, err = json.Marshal(loads)
+	if err != nil || len(body) < minCompressedLoads || !sums && len(loads.Usage.Servers) == 0 {
 		return body, false, errors.Wrap(err, "encode loads")
 	}
 	writer := gzipWriters.Get().(*gzip.Writer)
@@ -76,7 +79,10 @@
 	if _, err := writer.Write(body); err != nil {
 		return nil, false, errors.Wrap(err, "compress loads")
 	}
-	return buffer.Bytes(), true, errors.Wrap(writer.Close(), "compress loads")
+	if err := writer.Close(); err != nil {
+		return nil, false, errors.Wrap(err, "compress loads")
+	}
+	return buffer.Bytes(), true, nil
 }
 
 // LoadClient sends messages about loads to peers. It implements serverload.Transport.
--- a/internal/serverload/ledger.go
+++ b/internal/serverload/ledger.go
@@ -4,6 +4,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -19,8 +21,13 @@
 
 // entry is what one report, or the sums of one relay, say about a server.
 type entry struct {
+	slot int32
+	load load
+}
+
+// evidenceEntry is the evidence in the sums of one relay about a server.
+type evidenceEntry struct {
 	slot     int32
-	load     load
 	evidence evidence
 }
 
@@ -32,6 +39,8 @@
 	sequence   int64
 	// entries are in the order of the servers' identifiers.
 	entries []entry
+	// evidence is kept only of sums; that of a report is added once.
+	evidence []evidenceEntry
 }
 
 // slot holds the sums of one server.
@@ -52,6 +61,9 @@
 	free    []int32
 	slotOf  map[string]int32
 	ordered []int32 // the slots in use, by identifier
+	// names are the identifiers of the ordered slots and list is their fingerprint; names is nil after a change.
+	names   []string
+	list    int64
 	reports map[string]*contribution
 	sums    map[string]*contribution
 	decayed time.Time
@@ -81,20 +93,61 @@
 	l.slotOf[id] = index
 	position, _ := slices.BinarySearchFunc(l.ordered, id, func(i int32, id string) int { return strings.Compare(l.slots[i].id, id) })
 	l.ordered = slices.Insert(l.ordered, position, index)
+	l.names = nil
 	return index
 }
 
-// entriesOf converts items to entries and returns how many were left out for lack of room.
-func (l *ledger) entriesOf(items []item, reuse []entry, now time.Time) ([]entry, int) {
-	entries := reuse[:0]
+// serverList returns the identifiers of the servers in order, which are not to be changed, and their fingerprint.
+func (l *ledger) serverList() ([]string, int64) {
+	if l.names == nil {
+		l.names = make([]string, 0, len(l.ordered))
+		hash := xxhash.New()
+		for _, index := range l.ordered {
+			l.names = append(l.names, l.slots[index].id)
+			_, _ = hash.WriteString(l.slots[index].id)
+			_, _ = hash.Write([]byte{0})
+		}
+		l.list = int64(hash.Sum64())
+	}
+	return l.names, l.list
+}
+
+// addLoads adds the loads of items to the entries of a contribution and returns how many were left out for lack of room. Items without
+// a load are skipped.
+func (l *ledger) addLoads(c *contribution, items []item, now time.Time, sum func(s *slot) *load) int {
+	omitted := 0
 	for _, i := range items {
-		if index := l.slotFor(i.id, now); index >= 0 {
-			entries = append(entries, entry{index, i.load, i.evidence})
+		if i.load == (load{}) {
+			continue
 		}
+		index := l.slotFor(i.id, now)
+		if index < 0 {
+			omitted++
+			continue
+		}
+		c.entries = append(c.entries, entry{index, i.load})
+		s := &l.slots[index]
+		total := sum(s)
+		*total = total.plus(i.load)
+		s.references++
+	}
+	return omitted
+}
+
+// removeLoads undoes addLoads.
+func (l *ledger) removeLoads(c *contribution, sum func(s *slot) *load) {
+	for _, e := range c.entries {
+		s := &l.slots[e.slot]
+		total := sum(s)
+		*total = total.minus(e.load)
+		s.references--
 	}
-	return entries, len(items) - len(entries)
+	c.entries = c.entries[:0]
 }
 
+func directLoad(s *slot) *load { return &s.direct }
+func remoteLoad(s *slot) *load { return &s.remote }
+
 // putReport replaces the report of an instance. It returns the reason if the report is dropped, and the number of servers left out.
 func (l *ledger) putReport(incarnation string, sequence int64, items []item, now time.Time) (string, int) {
 	report, known := l.reports[incarnation]
@@ -107,65 +160,73 @@
 		report = &contribution{}
 		l.reports[incarnation] = report
 	}
-	l.withdrawReport(report)
-	var omitted int
-	report.entries, omitted = l.entriesOf(items, report.entries, now)
+	l.removeLoads(report, directLoad)
 	report.at, report.receivedAt, report.sequence = now, now, sequence
-	for _, e := range report.entries {
-		s := &l.slots[e.slot]
-		s.direct = s.direct.plus(e.load)
-		if s.directEvidence.samples < maxDirectSamples {
-			s.directEvidence = s.directEvidence.plus(e.evidence)
+	omitted := l.addLoads(report, items, now, directLoad)
+	for _, i := range items {
+		if i.evidence.samples > 0 {
+			l.addDirectEvidence(i, now)
 		}
-		s.references++
 	}
 	return "", omitted
 }
 
-// withdrawReport takes the loads of a report out of the sums; its evidence stays and decays.
-func (l *ledger) withdrawReport(report *contribution) {
-	for _, e := range report.entries {
-		s := &l.slots[e.slot]
-		s.direct = s.direct.minus(e.load)
-		s.references--
+// addDirectEvidence adds the evidence of a report, which stays and decays.
+func (l *ledger) addDirectEvidence(i item, now time.Time) {
+	index := l.slotFor(i.id, now)
+	if index < 0 || l.slots[index].directEvidence.samples >= maxDirectSamples {
+		return
 	}
-	report.entries = report.entries[:0]
+	l.slots[index].directEvidence = l.slots[index].directEvidence.plus(i.evidence)
 }
 
-// putSums replaces the sums of another relay and returns the number of servers left out.
-func (l *ledger) putSums(address string, at time.Time, items []item, now time.Time) int {
+// putSums replaces the sums of another relay, and their evidence if withEvidence is set. It returns the number of servers left out.
+func (l *ledger) putSums(address string, at time.Time, items []item, withEvidence bool, now time.Time) int {
 	sums, known := l.sums[address]
 	if !known {
 		sums = &contribution{}
 		l.sums[address] = sums
 	}
-	l.withdrawSums(sums)
-	var omitted int
-	sums.entries, omitted = l.entriesOf(items, sums.entries, now)
+	l.removeLoads(sums, remoteLoad)
 	sums.at, sums.receivedAt = at, now
-	for _, e := range sums.entries {
-		s := &l.slots[e.slot]
-		s.remote = s.remote.plus(e.load)
-		s.remoteEvidence = s.remoteEvidence.plus(e.evidence)
-		s.references++
+	omitted := l.addLoads(sums, items, now, remoteLoad)
+	if withEvidence {
+		l.removeEvidence(sums)
+		l.addEvidence(sums, items, now)
 	}
 	return omitted
 }
 
-func (l *ledger) withdrawSums(sums *contribution) {
-	for _, e := range sums.entries {
+// addEvidence adds the evidence of the sums of another relay.
+func (l *ledger) addEvidence(sums *contribution, items []item, now time.Time) {
+	for _, i := range items {
+		if i.evidence.samples <= 0 {
+			continue
+		}
+		if index := l.slotFor(i.id, now); index >= 0 {
+			sums.evidence = append(sums.evidence, evidenceEntry{index, i.evidence})
+			s := &l.slots[index]
+			s.remoteEvidence = s.remoteEvidence.plus(i.evidence)
+			s.references++
+		}
+	}
+}
+
+// removeEvidence undoes addEvidence.
+func (l *ledger) removeEvidence(sums *contribution) {
+	for _, e := range sums.evidence {
 		s := &l.slots[e.slot]
-		s.remote = s.remote.minus(e.load)
 		s.remoteEvidence = s.remoteEvidence.plus(evidence{-e.evidence.samples, -e.evidence.logs})
 		s.references--
 	}
-	sums.entries = sums.entries[:0]
+	sums.evidence = sums.evidence[:0]
 }
 
 // removeSums forgets the sums of another relay.
 func (l *ledger) removeSums(address string) {
 	if sums, known := l.sums[address]; known {
-		l.withdrawSums(sums)
+		l.removeLoads(sums, remoteLoad)
+		l.removeEvidence(sums)
 		delete(l.sums, address)
 	}
 }
@@ -175,7 +236,7 @@
 	for incarnation, report := range l.reports {
 		age := now.Sub(report.receivedAt)
 		if age >= reportExpiry {
-			l.withdrawReport(report)
+			l.removeLoads(report, directLoad)
 		}
 		if age >= sequenceRetention {
 			delete(l.reports, incarnation)
@@ -194,6 +255,7 @@
 		delete(l.slotOf, s.id)
 		*s = slot{}
 		l.free = append(l.free, index)
+		l.names = nil
 		return true
 	})
 }
--- a/internal/serverload/message.go
+++ b/internal/serverload/message.go
@@ -21,6 +21,7 @@
 	dropNoInstance   = "no_incarnation"
 	dropManyReporter = "too_many_instances"
 	dropNoRoom       = "no_room"
+	dropUnknownList  = "unknown_list"
 )
 
 const (
@@ -120,12 +121,8 @@
 		math.Abs(i.evidence.logs) <= maxLogSlowdown*i.evidence.samples+0.03
 }
 
-// appendUsage adds one server to a message.
-func appendUsage(usage *api.GatewayUsage, id string, l load, e evidence) {
-	usage.Servers = append(usage.Servers, id)
-	usage.Running = append(usage.Running, l.running)
-	usage.Streaming = append(usage.Streaming, l.streaming)
-	usage.PendingWork = append(usage.PendingWork, l.pending)
+// appendEvidence adds the evidence about one server to a message.
+func appendEvidence(usage *api.GatewayUsage, e evidence) {
 	usage.SampleHundredths = append(usage.SampleHundredths, int64(math.Round(e.samples*100)))
 	usage.LogSlowdownThousandths = append(usage.LogSlowdownThousandths, int64(math.Round(e.logs*1000)))
 }
@@ -177,13 +174,17 @@
 func encodeReport(items []item) api.GatewayUsage {
 	var usage api.GatewayUsage
 	for _, i := range items {
-		appendUsage(&usage, i.id, i.load, i.evidence)
+		usage.Servers = append(usage.Servers, i.id)
+		usage.Running = append(usage.Running, i.load.running)
+		usage.Streaming = append(usage.Streaming, i.load.streaming)
+		usage.PendingWork = append(usage.PendingWork, i.load.pending)
+		appendEvidence(&usage, i.evidence)
 	}
 	trimEvidence(&usage)
 	return usage
 }
 
-// decodeView checks a view and returns its servers, or the reason why it is dropped.
+// decodeView checks a view and returns the servers with a load or a slowdown, or the reason why it is dropped.
 func decodeView(loads api.GatewayLoads) (map[string]Server, string) {
 	items, reason := decodeUsage(loads.Usage, viewLimits)
 	if reason != "" {
@@ -204,6 +205,9 @@
 		if slowdown < minSlowdown || slowdown > maxSlowdown {
 			return nil, dropRange
 		}
+		if item.load == (load{}) && slowdown == 1 {
+			continue
+		}
 		servers[item.id] = Server{item.load.running, item.load.streaming, item.load.pending, slowdown}
 	}
 	return servers, ""
--- a/internal/serverload/relay.go
+++ b/internal/serverload/relay.go
@@ -37,7 +37,7 @@
 	if query.Sums {
 		t.ledger.expire(now)
 		loads.AgeMillis = t.ledger.reportsAge(now).Milliseconds()
-		loads.Usage = t.ledger.encodeSums()
+		loads.Usage, loads.List = t.ledger.encodeSums(query.List, query.Evidence)
 		return loads, nil, nil
 	}
 	reasons := t.takeReport(query, now)
@@ -50,7 +50,7 @@
 	}
 	t.ledger.expire(now)
 	loads.AgeMillis = t.ledger.age(now).Milliseconds()
-	loads.Usage, loads.SlowdownPercent = t.ledger.encodeView(query.Incarnation)
+	t.ledger.encodeView(&loads, query.Incarnation, query.List)
 	return loads, reasons, nil
 }
 
@@ -73,44 +73,49 @@
 	return slices.Repeat([]string{dropNoRoom}, omitted)
 }
 
-// encodeSums returns the sums of the reports that this relay received itself.
-func (l *ledger) encodeSums() api.GatewayUsage {
-	usage := newUsage(len(l.ordered))
-	for _, index := range l.ordered {
-		if s := &l.slots[index]; s.direct != (load{}) || s.directEvidence.samples > 0 {
-			appendUsage(&usage, s.id, s.direct, s.directEvidence)
+// encodeSums returns the sums of the reports that this relay received itself, and the fingerprint of the list of servers. The list itself
+// is left out if knownList is its fingerprint.
+func (l *ledger) encodeSums(knownList int64, withEvidence bool) (api.GatewayUsage, int64) {
+	usage, list := l.newUsage(knownList)
+	for i, index := range l.ordered {
+		s := &l.slots[index]
+		usage.Running[i], usage.Streaming[i], usage.PendingWork[i] = s.direct.running, s.direct.streaming, s.direct.pending
+	}
+	if withEvidence {
+		for _, index := range l.ordered {
+			appendEvidence(&usage, l.slots[index].directEvidence)
 		}
+		trimEvidence(&usage)
 	}
-	trimEvidence(&usage)
-	return usage
+	return usage, list
 }
 
-// encodeView returns the load from all instances except one, and the slowdowns in percent.
-func (l *ledger) encodeView(except string) (api.GatewayUsage, []int) {
-	usage, slowdowns, unequal := newUsage(len(l.ordered)), make([]int, 0, len(l.ordered)), false
+// encodeView sets the load from all instances except one, and the slowdowns in percent. The list of servers is left out if knownList is
+// its fingerprint.
+func (l *ledger) encodeView(loads *api.GatewayLoads, except string, knownList int64) {
+	loads.Usage, loads.List = l.newUsage(knownList)
+	loads.SlowdownPercent = make([]int, 0, len(l.ordered))
+	unequal := false
 	l.eachTotal(except, func(s *slot, total load) {
-		percent := int(math.Round(100 * s.slowdown))
-		if total == (load{}) && percent == 100 {
-			return
-		}
-		usage.Servers = append(usage.Servers, s.id)
-		usage.Running = append(usage.Running, total.running)
-		usage.Streaming = append(usage.Streaming, total.streaming)
-		usage.PendingWork = append(usage.PendingWork, total.pending)
-		slowdowns = append(slowdowns, percent)
+		i, percent := len(loads.SlowdownPercent), int(math.Round(100*s.slowdown))
+		loads.Usage.Running[i], loads.Usage.Streaming[i], loads.Usage.PendingWork[i] = total.running, total.streaming, total.pending
+		loads.SlowdownPercent = append(loads.SlowdownPercent, percent)
 		unequal = unequal || percent != 100
 	})
 	if !unequal {
-		slowdowns = nil
+		loads.SlowdownPercent = nil
 	}
-	return usage, slowdowns
 }
 
-// newUsage returns a message with room for n servers and without evidence.
-func newUsage(n int) api.GatewayUsage {
-	return api.GatewayUsage{
-		Servers: make([]string, 0, n), Running: make([]int, 0, n), Streaming: make([]int, 0, n), PendingWork: make([]int64, 0, n),
+// newUsage returns a message without load for all servers, and the fingerprint of their list.
+func (l *ledger) newUsage(knownList int64) (api.GatewayUsage, int64) {
+	n := len(l.ordered)
+	usage := api.GatewayUsage{Running: make([]int, n), Streaming: make([]int, n), PendingWork: make([]int64, n)}
+	names, list := l.serverList()
+	if list != knownList {
+		usage.Servers = names
 	}
+	return usage, list
 }
 
 // servers returns the view of the instance itself.
--- a/internal/serverload/round.go
+++ b/internal/serverload/round.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -26,9 +28,10 @@
 	items, topology := ownItems(t.Own()), t.Topology()
 	if topology.Relay {
 		t.relayRound(ctx, items, topology.Others)
+		t.withdraw(ctx, "")
 		return nil
 	}
-	t.reportRound(ctx, items, topology.Relays)
+	t.withdraw(ctx, t.reportRound(ctx, items, topology.Relays))
 	return nil
 }
 
@@ -44,14 +47,15 @@
 	t.ledger = nil
 }
 
-// reportRound sends a report to the first usable relay and publishes the view that it answers with. Evidence in a report that fails is
-// lost: the relay may have taken it, and a second report would count it twice.
-func (t *Table) reportRound(ctx context.Context, items []item, relays []string) {
+// reportRound sends a report to the first usable relay, publishes the view that it answers with, and returns its address. Evidence in a
+// report that fails is lost: the relay may have taken it, and a second report would count it twice.
+func (t *Table) reportRound(ctx context.Context, items []item, relays []string) string {
 	t.stopRelaying()
+	t.forgetLists(relays)
 	sent := time.Now()
 	address, sequence := t.chooseRelay(relays, t.clock(sent))
 	if address == "" {
-		return
+		return ""
 	}
 	loads, err := t.call(ctx, address, api.GatewayLoadsQuery{
 		Incarnation: t.incarnation, Sequence: sequence, Usage: encodeReport(items),
@@ -59,17 +63,35 @@
 	t.recordResult("report loads", address, err)
 	if err != nil {
 		t.avoid(address)
-		return
+		return address
 	}
 	if loads.Partial {
-		return
+		return address
+	}
+	var servers map[string]Server
+	reason := t.restoreList(address, &loads)
+	if reason == "" {
+		servers, reason = decodeView(loads)
 	}
-	servers, reason := decodeView(loads)
 	if reason != "" {
 		t.CountDropped(reason)
-		return
+		return address
 	}
+	t.keepList(address, loads)
 	t.publish(servers, sent.Add(-time.Duration(loads.AgeMillis)*time.Millisecond))
+	return address
+}
+
+// withdraw replaces the last report at a relay that this instance no longer reports to by an empty one, so that it does not count twice
+// until the last report expires there. A relay that does not answer is not asked again.
+func (t *Table) withdraw(ctx context.Context, current string) {
+	t.mu.Lock()
+	former, sequence := t.reportedTo, t.sequence
+	t.reportedTo = current
+	t.mu.Unlock()
+	if former != "" && former != current {
+		_, _ = t.call(ctx, former, api.GatewayLoadsQuery{Incarnation: t.incarnation, Sequence: sequence})
+	}
 }
 
 // chooseRelay returns the first relay to which no report failed recently, or the first one if all failed, and the sequence number of the
@@ -110,6 +132,9 @@
 func (t *Table) call(ctx context.Context, address string, query api.GatewayLoadsQuery) (api.GatewayLoads, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	t.mu.Lock()
+	query.List = t.lists[address].fingerprint
+	t.mu.Unlock()
 	loads, err := t.Transport.Loads(ctx, address, query)
 	if errors.Is(err, ErrMalformed) {
 		t.CountMalformed()
@@ -117,6 +142,35 @@
 	return loads, err
 }
 
+// restoreList sets the list of servers of an answer that leaves it out, or returns the reason why the answer is dropped.
+func (t *Table) restoreList(address string, loads *api.GatewayLoads) string {
+	if len(loads.Usage.Servers) > 0 || len(loads.Usage.Running) == 0 {
+		return ""
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known := t.lists[address]
+	if loads.List != known.fingerprint {
+		return dropUnknownList
+	}
+	loads.Usage.Servers = known.names
+	return ""
+}
+
+// keepList keeps the list of servers of an answer that was accepted.
+func (t *Table) keepList(address string, loads api.GatewayLoads) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.lists[address] = serverList{loads.List, loads.Usage.Servers}
+}
+
+// forgetLists forgets the lists of all peers except some.
+func (t *Table) forgetLists(except []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	maps.DeleteFunc(t.lists, func(address string, _ serverList) bool { return !slices.Contains(except, address) })
+}
+
 // recordResult logs when messages to a peer begin to fail and when they succeed again.
 func (t *Table) recordResult(step, address string, err error) {
 	t.mu.Lock()
@@ -138,11 +192,12 @@
 
 // relayRound takes this instance's own usage as a report, pulls the sums of the other relays and publishes the view of this instance.
 func (t *Table) relayRound(ctx context.Context, items []item, others []string) {
-	t.putOwn(items)
+	withEvidence := t.putOwn(items)
+	t.forgetLists(others)
 	done := make(chan struct{}, len(others))
 	for _, address := range others {
 		go func() {
-			t.pullSums(ctx, address)
+			t.pullSums(ctx, address, withEvidence)
 			done <- struct{}{}
 		}()
 	}
@@ -152,7 +207,8 @@
 	t.finishRelayRound()
 }
 
-func (t *Table) putOwn(items []item) {
+// putOwn takes this instance's own usage as a report and reports whether evidence is due in this round.
+func (t *Table) putOwn(items []item) bool {
 	now := t.clock(time.Now())
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -162,43 +218,66 @@
 	t.sequence++
 	t.lastRound = now
 	t.ledger.putReport(t.incarnation, t.sequence, items, now)
+	return t.sequence%evidenceRounds == 0
 }
 
 // pullSums replaces the sums of another relay. If it has ended to be a relay, its sums are removed at once, because the instances that
 // reported to it report to others.
-func (t *Table) pullSums(ctx context.Context, address string) {
+func (t *Table) pullSums(ctx context.Context, address string, withEvidence bool) {
 	sent := time.Now()
-	loads, err := t.call(ctx, address, api.GatewayLoadsQuery{Incarnation: t.incarnation, Sums: true})
+	loads, err := t.call(ctx, address, api.GatewayLoadsQuery{Incarnation: t.incarnation, Sums: true, Evidence: withEvidence})
 	t.recordResult("pull sums of loads", address, err)
-	if err != nil && !errors.Is(err, ErrNotRelay) {
+	if err != nil {
+		if errors.Is(err, ErrNotRelay) {
+			t.removeSums(address)
+		}
 		return
 	}
-	items, reason := decodeUsage(loads.Usage, sumsLimits)
-	age := time.Duration(loads.AgeMillis) * time.Millisecond
-	switch {
-	case err == nil && reason == "" && loads.Incarnation == t.incarnation:
-		reason = dropOwn
-	case err == nil && reason == "" && (loads.AgeMillis < 0 || age >= reportExpiry):
-		reason = dropRange
-	}
-	now, omitted := t.clock(time.Now()), 0
-	t.mu.Lock()
-	switch {
-	case t.ledger == nil:
-	case err != nil:
-		t.ledger.removeSums(address)
-	case reason == "":
-		omitted = t.ledger.putSums(address, now.Add(-time.Since(sent)-age), items, now)
-	}
-	t.mu.Unlock()
+	items, reason := t.decodeSums(address, &loads)
 	if reason != "" {
 		t.CountDropped(reason)
+		return
 	}
-	for range omitted {
+	t.keepList(address, loads)
+	at := sent.Add(-time.Duration(loads.AgeMillis) * time.Millisecond)
+	for range t.putSums(address, at, items, withEvidence) {
 		t.CountDropped(dropNoRoom)
 	}
 }
 
+// decodeSums checks the sums of another relay and returns their items, or the reason why they are dropped.
+func (t *Table) decodeSums(address string, loads *api.GatewayLoads) ([]item, string) {
+	if loads.Incarnation == t.incarnation {
+		return nil, dropOwn
+	}
+	if loads.AgeMillis < 0 || loads.AgeMillis >= reportExpiry.Milliseconds() {
+		return nil, dropRange
+	}
+	if reason := t.restoreList(address, loads); reason != "" {
+		return nil, reason
+	}
+	return decodeUsage(loads.Usage, sumsLimits)
+}
+
+func (t *Table) removeSums(address string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.ledger != nil {
+		t.ledger.removeSums(address)
+	}
+}
+
+// putSums replaces the sums of another relay, whose oldest part is from the time at. It returns the number of servers left out.
+func (t *Table) putSums(address string, at time.Time, items []item, withEvidence bool) int {
+	suspended := t.Suspended()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.ledger == nil {
+		return 0
+	}
+	return t.ledger.putSums(address, at.Add(suspended), items, withEvidence, time.Now().Add(suspended))
+}
+
 func (t *Table) finishRelayRound() {
 	wall := time.Now()
 	now := t.clock(wall)
--- a/internal/serverload/serverload.go
+++ b/internal/serverload/serverload.go
@@ -35,6 +35,8 @@
 	relayExpiry = time.Second
 	// relayRetryDelay is how long a relay is not used after a failed report.
 	relayRetryDelay = 3 * time.Second
+	// evidenceRounds is the number of rounds between two pulls of the evidence about the speed of servers, which changes slowly.
+	evidenceRounds = 10
 )
 
 // Usage is what one instance, or several together, use of one backend server.
@@ -111,12 +113,22 @@
 	// ledger is nil while this instance is not a relay.
 	ledger   *ledger
 	sequence int64
+	// reportedTo is the relay of the last report, or empty.
+	reportedTo string
 	// relaySince and lastRound are when this instance became a relay and when it last ran a round as one.
 	relaySince, lastRound time.Time
 	// avoidUntil holds when each relay to which a report failed may be used again.
 	avoidUntil map[string]time.Time
 	// failing holds the addresses of relays whose last message failed, to log only changes.
 	failing map[string]bool
+	// lists holds the last list of servers that each peer sent.
+	lists map[string]serverList
+}
+
+// serverList is a list of servers and its fingerprint.
+type serverList struct {
+	fingerprint int64
+	names       []string
 }
 
 // NewTable returns a table without a view.
@@ -126,7 +138,7 @@
 	}
 	return &Table{
 		Options: options, incarnation: incarnation, mu: lockorder.New(lockorder.RankServerLoads),
-		avoidUntil: map[string]time.Time{}, failing: map[string]bool{},
+		avoidUntil: map[string]time.Time{}, failing: map[string]bool{}, lists: map[string]serverList{},
 	}
 }
 
