Keep requests away from availability zones that the operator evacuates

Instances ignored the operator's rows evacuate/ZONE, so requests went on to reach servers that were about to be shut down. A table of records now holds the last change by zone, merged by the version of the store in any order; a filter that no fallback step skips drops the servers.

--- a/internal/api/peer.gen.go
+++ b/internal/api/peer.gen.go
@@ -229,6 +229,19 @@
 	Service string `json:"service" yaml:"service"`
 }
 
+// GatewayEvacuation Last known change of the evacuation of an availability zone.
+type GatewayEvacuation struct {
+	// Active Whether the zone is evacuated.
+	Active           bool   `json:"active,omitempty" yaml:"active,omitempty"`
+	AvailabilityZone string `json:"availabilityZone" yaml:"availabilityZone"`
+
+	// EndedAgeMillis Time since the sender learnt of the end in milliseconds.
+	EndedAgeMillis int64 `json:"endedAgeMillis,omitempty" yaml:"endedAgeMillis,omitempty"`
+
+	// Revision Version of the store as of the change.
+	Revision int64 `json:"revision" yaml:"revision"`
+}
+
 // GatewayInstance Value of the row that announces an instance to its peers.
 type GatewayInstance struct {
 	AvailabilityZone string `json:"availabilityZone,omitempty" yaml:"availabilityZone,omitempty"`
@@ -294,6 +307,9 @@
 	// Discover Whether the list of instances is requested.
 	Discover bool `json:"discover,omitempty" yaml:"discover,omitempty"`
 
+	// Evacuations Last known change of the evacuation of each availability zone, at most 64.
+	Evacuations []GatewayEvacuation `json:"evacuations,omitempty" yaml:"evacuations,omitempty"`
+
 	// From Value of the row that announces an instance to its peers.
 	From GatewayInstance `json:"from" yaml:"from"`
 
@@ -339,6 +355,9 @@
 type GatewayServer struct {
 	Address          string `json:"address" yaml:"address"`
 	AvailabilityZone string `json:"availabilityZone" yaml:"availabilityZone"`
+
+	// ColdMillis Time in milliseconds until the server is no longer cold as far as the sender knows.
+	ColdMillis       int64  `json:"coldMillis,omitempty" yaml:"coldMillis,omitempty"`
 	Id               string `json:"id" yaml:"id"`
 	Leaving          bool   `json:"leaving,omitempty" yaml:"leaving,omitempty"`
 	Service          string `json:"service" yaml:"service"`
@@ -353,12 +372,24 @@
 	Counts               []GatewayCount `json:"counts,omitempty" yaml:"counts,omitempty"`
 
 	// Crashes Crashes that the sender knows, if the digest of the query differs from its own.
-	Crashes     []GatewayCrash `json:"crashes,omitempty" yaml:"crashes,omitempty"`
-	Incarnation string         `json:"incarnation" yaml:"incarnation"`
+	Crashes []GatewayCrash `json:"crashes,omitempty" yaml:"crashes,omitempty"`
+
+	// EvacuationEndsKnown Whether the sender also knows the evacuations that ended recently.
+	EvacuationEndsKnown bool `json:"evacuationEndsKnown,omitempty" yaml:"evacuationEndsKnown,omitempty"`
+
+	// Evacuations Last known change of the evacuation of each availability zone, at most 64.
+	Evacuations []GatewayEvacuation `json:"evacuations,omitempty" yaml:"evacuations,omitempty"`
+
+	// EvacuationsKnown Whether the sender knows all evacuations in force.
+	EvacuationsKnown bool   `json:"evacuationsKnown,omitempty" yaml:"evacuationsKnown,omitempty"`
+	Incarnation      string `json:"incarnation" yaml:"incarnation"`
 
 	// Instances Known instances, if requested.
 	Instances []GatewayInstance `json:"instances,omitempty" yaml:"instances,omitempty"`
 
+	// InstancesKnown Whether the sender has a list of all instances.
+	InstancesKnown bool `json:"instancesKnown,omitempty" yaml:"instancesKnown,omitempty"`
+
 	// Leaving Backend servers that said recently that they leave.
 	Leaving    []GatewayLeaving   `json:"leaving,omitempty" yaml:"leaving,omitempty"`
 	Migrations []GatewayMigration `json:"migrations,omitempty" yaml:"migrations,omitempty"`
--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"github.com/cicadawall/cicadawall/internal/evacuation"
 	"github.com/cicadawall/cicadawall/internal/lockorder"
 	"github.com/cicadawall/cicadawall/internal/rendezvous"
 	"github.com/cicadawall/cicadawall/internal/routing"
@@ -210,6 +211,8 @@
 	Prompt []PromptPart
 	// MaxInFlight is the limit of this instance's requests in flight on one server; zero means no limit.
 	MaxInFlight int
+	// Evacuations are the evacuated availability zones; nil if there are none.
+	Evacuations *evacuation.View
 }
 
 // Candidates returns the servers of the service in the form that the routing policy evaluates.
@@ -237,6 +240,7 @@
 		ID:            r.entry.ID,
 		Zone:          r.entry.AvailabilityZone,
 		Leaving:       r.entry.Leaving || r.addressReused,
+		Evacuated:     q.Evacuations.Evacuated(r.entry.AvailabilityZone),
 		EjectedUntil:  r.health.ejectedUntil,
 		InFlight:      r.inFlight,
 		Software:      r.entry.Software,
@@ -260,7 +264,7 @@
 	}
 	home, highest := -1, uint64(0)
 	for i := range candidates {
-		if candidates[i].Leaving || candidates[i].OutsidePartition {
+		if candidates[i].Leaving || candidates[i].Evacuated || candidates[i].OutsidePartition {
 			continue
 		}
 		weight := rendezvous.Weight(shared.ID+model, candidates[i].ID)
--- /dev/null
+++ b/internal/evacuation/record.go
@@ -0,0 +1,60 @@
+// Package evacuation keeps which availability zones the operator has evacuated. Requests must not reach the servers of such a zone.
+package evacuation
+
+import (
+	"time"
+)
+
+const (
+	// MaxRecords bounds the records that are exchanged between instances.
+	MaxRecords = 64
+	// maxZoneBytes bounds the name of an availability zone.
+	maxZoneBytes = 256
+)
+
+// Record is the last known change of the evacuation of one availability zone.
+type Record struct {
+	Zone string
+	// Revision is the version of the store as of the change.
+	Revision int64
+	// Active is set while the zone is evacuated.
+	Active bool
+	// EndedAt is when the end of the evacuation was learnt; zero while the zone is evacuated.
+	EndedAt time.Time
+}
+
+// valid reports whether a record from a peer can be used.
+func (r Record) valid() bool {
+	return r.Zone != "" && len(r.Zone) <= maxZoneBytes && r.Revision > 0
+}
+
+// supersedes reports whether a record replaces another one of the same zone. Of two records of one revision, an active one is the safer
+// one, and of two ends the earlier one was learnt first.
+func (r Record) supersedes(other Record) bool {
+	switch {
+	case r.Revision != other.Revision:
+		return r.Revision > other.Revision
+	case r.Active != other.Active:
+		return r.Active
+	default:
+		return r.EndedAt.Before(other.EndedAt)
+	}
+}
+
+// View is an immutable copy of the records for decisions on requests. The nil View has no records.
+type View struct {
+	records map[string]Record
+}
+
+// Evacuated reports whether the zone is evacuated.
+func (v *View) Evacuated(zone string) bool {
+	return v != nil && v.records[zone].Active
+}
+
+// EndedAt returns when the end of the zone's evacuation was learnt; zero if there was none or the zone is evacuated.
+func (v *View) EndedAt(zone string) time.Time {
+	if v == nil {
+		return time.Time{}
+	}
+	return v.records[zone].EndedAt
+}
--- /dev/null
+++ b/internal/evacuation/table.go
@@ -0,0 +1,186 @@
+package evacuation
+
+import (
+	"cmp"
+	"log/slog"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cicadawall/cicadawall/internal/lockorder"
+)
+
+// EndsUnknownTime is how long a new process that no peer has told of earlier evacuations must expect that one has ended just before. By
+// then the rows of the zone's servers say that they are cold: they are written every 1.2 s, and arrive within half a second.
+const EndsUnknownTime = 1700 * time.Millisecond
+
+// Options of a Table. All fields are required.
+type Options struct {
+	// Started is when the process started.
+	Started time.Time
+	Log     *slog.Logger
+}
+
+// Table holds the last known change of the evacuation of each availability zone. It is safe for concurrent use.
+type Table struct {
+	Options
+
+	mu      *lockorder.RWMutex
+	records map[string]Record
+	view    *View
+	// readThrough is the revision of the newest complete read of the operator's rows.
+	readThrough int64
+	// known is set once this instance has read all evacuations, and endsKnown once it also knows those that ended before its start.
+	known, endsKnown bool
+}
+
+// NewTable returns a table without records.
+func NewTable(options Options) *Table {
+	return &Table{Options: options, mu: lockorder.NewRW(lockorder.RankEvacuations), records: map[string]Record{}}
+}
+
+// Begin records that the store holds the evacuation of the zone in a row of the given revision.
+func (t *Table) Begin(zone string, revision int64) {
+	t.mergeAll([]Record{{Zone: zone, Revision: revision, Active: true}}, "store")
+}
+
+// End records that the store deleted the evacuation of the zone at the revision.
+func (t *Table) End(zone string, revision int64, now time.Time) {
+	t.mergeAll([]Record{{Zone: zone, Revision: revision, EndedAt: now}}, "store")
+}
+
+// EndMissing records a complete read of the operator's rows: the evacuations of all other zones had ended at its revision.
+func (t *Table) EndMissing(present []string, revision int64, now time.Time) {
+	t.mu.Lock()
+	t.known = true
+	t.readThrough = max(t.readThrough, revision)
+	var missing []Record
+	for zone, record := range t.records {
+		if record.Active && !slices.Contains(present, zone) {
+			missing = append(missing, Record{Zone: zone, Revision: revision, EndedAt: now})
+		}
+	}
+	t.mu.Unlock()
+	t.mergeAll(missing, "store")
+}
+
+// Merge adds the records that a peer reported. An evacuation is ignored if its revision is not newer than that of a complete read, which
+// showed whether it was in force: the peer may not have learnt of its end.
+func (t *Table) Merge(records []Record, source string) {
+	t.mu.RLock()
+	usable := make([]Record, 0, len(records))
+	for _, record := range records[:min(len(records), MaxRecords)] {
+		if record.valid() && (!record.Active || record.Revision > t.readThrough) {
+			usable = append(usable, record)
+		}
+	}
+	t.mu.RUnlock()
+	t.mergeAll(usable, source)
+}
+
+// MarkKnown records that a peer that knows all evacuations has told them; with endsKnown, it also knows those that ended recently.
+func (t *Table) MarkKnown(endsKnown bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.known = true
+	t.endsKnown = t.endsKnown || endsKnown
+}
+
+// Known reports whether this instance knows all evacuations.
+func (t *Table) Known() bool {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.known
+}
+
+// EndsKnownFrom returns the time from which this instance knows of each evacuation that has ended so recently that servers may be cold
+// without saying so; zero if it already knows.
+func (t *Table) EndsKnownFrom(now time.Time) time.Time {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	from := t.Started.Add(EndsUnknownTime)
+	if t.endsKnown || !now.Before(from) {
+		return time.Time{}
+	}
+	return from
+}
+
+// View returns the current records; nil if there are none.
+func (t *Table) View() *View {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.view
+}
+
+// Count returns the number of evacuated zones.
+func (t *Table) Count() int {
+	count := 0
+	for _, record := range t.Records() {
+		if record.Active {
+			count++
+		}
+	}
+	return count
+}
+
+// Records returns at most MaxRecords records for peers: those of evacuated zones first, and then the newest ones.
+func (t *Table) Records() []Record {
+	t.mu.RLock()
+	records := slices.Collect(maps.Values(t.records))
+	t.mu.RUnlock()
+	slices.SortFunc(records, func(a, b Record) int {
+		if a.Active != b.Active {
+			if a.Active {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(cmp.Compare(b.Revision, a.Revision), cmp.Compare(a.Zone, b.Zone))
+	})
+	return records[:min(len(records), MaxRecords)]
+}
+
+// mergeAll puts the records in force that replace what is known, and logs the evacuations that begin or end.
+func (t *Table) mergeAll(records []Record, source string) {
+	if len(records) == 0 {
+		return
+	}
+	var changes []Record
+	t.mu.Lock()
+	for _, record := range records {
+		previous, recorded := t.records[record.Zone]
+		if recorded && !record.supersedes(previous) {
+			continue
+		}
+		t.records[record.Zone] = record
+		if record.Active != previous.Active {
+			changes = append(changes, record)
+		}
+	}
+	t.forgetOldEnds()
+	t.view = &View{records: maps.Clone(t.records)}
+	t.mu.Unlock()
+	for _, change := range changes {
+		if change.Active {
+			t.Log.Warn("availability zone evacuated", "zone", change.Zone, "revision", change.Revision, "source", source)
+		} else {
+			t.Log.Info("evacuation of availability zone ended", "zone", change.Zone, "revision", change.Revision, "source", source)
+		}
+	}
+}
+
+// forgetOldEnds removes the oldest ends if there are more than can be exchanged. The caller holds the lock.
+func (t *Table) forgetOldEnds() {
+	for len(t.records) > MaxRecords {
+		oldest, found := Record{}, false
+		for _, record := range t.records {
+			if !record.Active && (!found || record.Revision < oldest.Revision) {
+				oldest, found = record, true
+			}
+		}
+		if !found {
+			return
+		}
+		delete(t.records, oldest.Zone)
+	}
+}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -12,6 +12,7 @@
 	"github.com/cicadawall/cicadawall/internal/api"
 	"github.com/cicadawall/cicadawall/internal/backend"
 	"github.com/cicadawall/cicadawall/internal/crashguard"
+	"github.com/cicadawall/cicadawall/internal/evacuation"
 	"github.com/cicadawall/cicadawall/internal/gateway"
 	"github.com/cicadawall/cicadawall/internal/lockorder"
 	"github.com/cicadawall/cicadawall/internal/migration"
@@ -60,6 +61,7 @@
 	Directory      *backend.Directory
 	Migrations     *migration.Table
 	Crashes        *crashguard.Table
+	Evacuations    *evacuation.Table
 	// AdoptConfiguration puts a fetched configuration in force; source is the address of the peer that it comes from.
 	AdoptConfiguration func(document []byte, source string)
 	Transport          Transport
@@ -213,7 +215,7 @@
 	query := api.GatewayQuery{
 		From: e.Identity, Full: storeUnavailable, Discover: e.roundCount%discoverRounds == 0,
 		Crashes: e.recentCrashes(time.Now()), CrashDigest: e.Crashes.Digest(),
-		Leaving: e.leavingServers(time.Now()),
+		Leaving: e.leavingServers(time.Now()), Evacuations: e.knownEvacuations(time.Now()),
 	}
 	queries := e.planQueries(query)
 	done := make(chan struct{}, len(queries))
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -16,6 +16,7 @@
 	"github.com/cicadawall/cicadawall/internal/api"
 	"github.com/cicadawall/cicadawall/internal/backend"
 	"github.com/cicadawall/cicadawall/internal/crashguard"
+	"github.com/cicadawall/cicadawall/internal/evacuation"
 	"github.com/cicadawall/cicadawall/internal/gateway"
 	"github.com/cicadawall/cicadawall/internal/migration"
 	"github.com/cicadawall/cicadawall/internal/rowfeed"
@@ -67,7 +68,7 @@
 	node := New(Options{
 		Identity: api.GatewayInstance{PeerAddress: address, Incarnation: "incarnation of " + address}, Seeds: seeds, Configurations: configurations,
 		Directory: backend.NewDirectory(), Migrations: migration.NewTable(0.15), Crashes: crashguard.NewTable(crashguard.Options{MayTry: func(string) bool { return false }, Log: log}),
-		Transport: n, OperatorFollower: feed(), ServersFollower: feed(),
+		Evacuations: evacuation.NewTable(evacuation.Options{Started: time.Now(), Log: log}), Transport: n, OperatorFollower: feed(), ServersFollower: feed(),
 		AdoptConfiguration: func(document []byte, _ string) {
 			version, _ := strconv.ParseInt(string(document), 10, 64)
 			configurations.Adopt((&gateway.Configuration{Version: version, Document: document}).Compile())
--- a/internal/exchange/merge.go
+++ b/internal/exchange/merge.go
@@ -14,6 +14,11 @@
 // table that peers have seen. The peer's server list is merged only if useServers is set, because the list may be older
 // than this instance's if this instance is up to date.
 func (e *Exchange) mergeState(address string, state api.GatewayState, useServers bool, now time.Time) bool {
+	// Evacuations come first: neither a configuration nor servers of this peer are used before.
+	e.mergeEvacuations(address, state.Evacuations, now)
+	if state.EvacuationsKnown {
+		e.Evacuations.MarkKnown(state.EvacuationEndsKnown)
+	}
 	for _, instance := range state.Instances {
 		e.PutPeer(instance)
 	}
--- a/internal/exchange/state.go
+++ b/internal/exchange/state.go
@@ -20,9 +20,12 @@
 	e.mergeCounts(query.From.Incarnation, query.Counts)
 	e.mergeCrashes(query.Crashes, now)
 	e.mergeLeaving(query.Leaving, now)
+	e.mergeEvacuations(query.From.PeerAddress, query.Evacuations, now)
 	state := api.GatewayState{
 		Incarnation: e.Identity.Incarnation, ConfigurationVersion: e.Configurations.Version(), OperatorRowVersion: e.OperatorFollower.NewestRow(),
 		ServersRowVersion: e.ServersFollower.NewestRow(), Leaving: e.leavingServers(now),
+		Evacuations: e.knownEvacuations(now), EvacuationsKnown: e.Evacuations.Known(),
+		EvacuationEndsKnown: e.Evacuations.EndsKnownFrom(now).IsZero(),
 	}
 	if query.CrashDigest != e.Crashes.Digest() {
 		state.Crashes = encodeCrashes(e.Crashes.Crashes(time.Time{}), now)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"github.com/cicadawall/cicadawall/internal/admission"
 	"github.com/cicadawall/cicadawall/internal/backend"
 	"github.com/cicadawall/cicadawall/internal/crashguard"
+	"github.com/cicadawall/cicadawall/internal/evacuation"
 	"github.com/cicadawall/cicadawall/internal/fault"
 	"github.com/cicadawall/cicadawall/internal/migration"
 	"github.com/cicadawall/cicadawall/internal/retry"
@@ -52,6 +53,7 @@
 	Backends         Backends
 	Versions         VersionSelector
 	Crashes          *crashguard.Table
+	Evacuations      *evacuation.Table
 	RetryBudget      *retry.SharedBudget
 	InstanceCount    func() int
 	Metrics          *Metrics
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -14,6 +14,7 @@
 	"github.com/cicadawall/cicadawall/internal/api"
 	"github.com/cicadawall/cicadawall/internal/backend"
 	"github.com/cicadawall/cicadawall/internal/crashguard"
+	"github.com/cicadawall/cicadawall/internal/evacuation"
 	"github.com/cicadawall/cicadawall/internal/fault"
 	"github.com/cicadawall/cicadawall/internal/migration"
 	"github.com/cicadawall/cicadawall/internal/retry"
@@ -172,7 +173,8 @@
 	}
 	return New(Options{
 		AvailabilityZone: "z", Configurations: configurations, Directory: directory, Backends: backends, Versions: noPreference{},
-		Crashes: crashguard.NewTable(crashguard.Options{MayTry: func(string) bool { return true }, Log: log}),
+		Crashes:     crashguard.NewTable(crashguard.Options{MayTry: func(string) bool { return true }, Log: log}),
+		Evacuations: evacuation.NewTable(evacuation.Options{Started: time.Now(), Log: log}),
 		RetryBudget: retry.NewSharedBudget(retry.SharedBudgetOptions{
 			Ratio: 0.9, Slack: 20, Window: 10 * time.Second, Instances: func() int { return 1 }, Log: log,
 		}),
--- a/internal/gateway/models.go
+++ b/internal/gateway/models.go
@@ -239,7 +239,7 @@
 // than none. Ejected servers and those of a version to be avoided count, because chooseServer falls back to them.
 func (r *requestJob) serverAccepts(now time.Time) bool {
 	query := backend.Query{Service: r.service.Name, MaxInFlight: r.maxInFlight()}
-	candidates := r.gateway.Directory.Candidates(query, now)
+	candidates := r.candidates(query, now)
 	for i := range candidates {
 		candidates[i].EjectedUntil = time.Time{}
 	}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -192,7 +192,7 @@
 		return nil, false
 	}
 	query := backend.Query{Service: r.service.Name, Model: r.model, Prompt: r.request.Prompt, MaxInFlight: r.maxInFlight()}
-	candidates := r.gateway.Directory.Candidates(query, now)
+	candidates := r.candidates(query, now)
 	choice := r.chooseServer(candidates, now)
 	if !choice.Found {
 		r.backoff = routing.ShortestBackoff(candidates, now)
--- a/internal/lockorder/order.go
+++ b/internal/lockorder/order.go
@@ -10,10 +10,12 @@
 // Ranks of the shared tables, in the order in which they are locked.
 const (
 	RankConfiguration  Rank = 10
+	RankEvacuations    Rank = 15
 	RankPeers          Rank = 20
 	RankBackendServers Rank = 30
 	RankPrefixIndex    Rank = 35
 	RankVersions       Rank = 40
+	RankColdStarts     Rank = 43
 	RankCrashes        Rank = 45
 	RankSessionPins    Rank = 50
 	RankOrders         Rank = 60
--- a/internal/routing/filter.go
+++ b/internal/routing/filter.go
@@ -27,6 +27,17 @@
 	return ReasonNone
 }
 
+// EvacuatedFilter drops the servers of evacuated availability zones. No fallback step may skip it.
+type EvacuatedFilter struct{}
+
+// DropReason implements Filter.
+func (EvacuatedFilter) DropReason(c *Candidate, _ *Request, _ time.Time) Reason {
+	if c.Evacuated {
+		return ReasonEvacuated
+	}
+	return ReasonNone
+}
+
 // EjectedFilter drops servers whose ejection has not ended. The code that ejects servers keeps at least half of the pool.
 type EjectedFilter struct{}
 
--- a/internal/routing/gateway.go
+++ b/internal/routing/gateway.go
@@ -53,7 +53,7 @@
 func ShortestBackoff(candidates []Candidate, now time.Time) time.Duration {
 	shortest := time.Duration(0)
 	for i := range candidates {
-		if candidates[i].Leaving {
+		if candidates[i].Leaving || candidates[i].Evacuated {
 			continue
 		}
 		wait := candidates[i].BackoffUntil.Sub(now)
@@ -146,7 +146,7 @@
 // PromptPolicy chooses a server for a request with a prompt.
 func PromptPolicy() Policy {
 	return Policy{
-		Filters: []Filter{SoftwareVersionFilter{}, LeavingFilter{}, BackoffFilter{}, EjectedFilter{}, TriedFilter{}, InFlightLimitFilter{}},
+		Filters: []Filter{EvacuatedFilter{}, SoftwareVersionFilter{}, LeavingFilter{}, BackoffFilter{}, EjectedFilter{}, TriedFilter{}, InFlightLimitFilter{}},
 		Scorers: []Scorer{PrefillScorer{}, PartitionScorer{}, FailureScorer{}, ZoneScorer{}},
 		Picker:  LowestScore{},
 	}
@@ -155,7 +155,7 @@
 // PlainPolicy chooses a server for a request without a prompt.
 func PlainPolicy() Policy {
 	return Policy{
-		Filters: []Filter{SoftwareVersionFilter{}, LeavingFilter{}, BackoffFilter{}, EjectedFilter{}, TriedFilter{}, InFlightLimitFilter{}},
+		Filters: []Filter{EvacuatedFilter{}, SoftwareVersionFilter{}, LeavingFilter{}, BackoffFilter{}, EjectedFilter{}, TriedFilter{}, InFlightLimitFilter{}},
 		Scorers: []Scorer{ResponseTimeScorer{}, FailureScorer{}, ZoneScorer{}},
 		Picker:  LowestScore{},
 	}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -26,6 +26,8 @@
 	Zone     string
 	Versions []declaration.VersionID
 	Leaving  bool
+	// Evacuated is set if the operator has evacuated the server's availability zone.
+	Evacuated bool
 	// BackoffUntil is the time until which the server asked to get no requests.
 	BackoffUntil time.Time
 	EjectedUntil time.Time
@@ -120,6 +122,7 @@
 	ReasonNone      Reason = ""
 	ReasonNotLoaded Reason = "version not loaded"
 	ReasonLeaving   Reason = "leaving"
+	ReasonEvacuated Reason = "availability zone evacuated"
 	ReasonBackoff   Reason = "backoff"
 	ReasonEjected   Reason = "ejected"
 	ReasonTried     Reason = "used by an earlier attempt"
@@ -154,7 +157,7 @@
 // DefaultPolicy returns the policy for engines, used in production.
 func DefaultPolicy() Policy {
 	return Policy{
-		Filters: []Filter{VersionLoadedFilter{}, LeavingFilter{}, EjectedFilter{}, TriedFilter{}},
+		Filters: []Filter{VersionLoadedFilter{}, EvacuatedFilter{}, LeavingFilter{}, EjectedFilter{}, TriedFilter{}},
 		Scorers: []Scorer{LoadScorer{}, PrefixScorer{}, ZoneScorer{}},
 		Picker:  TwoChoices{},
 	}
--- a/internal/rowfeed/rowfeed.go
+++ b/internal/rowfeed/rowfeed.go
@@ -87,7 +87,9 @@
 	// Complete is set if Rows contains the whole table.
 	Complete bool
 	Rows     []Row
-	Clock    time.Duration
+	// Version is the newest version of the store that the batch covers.
+	Version int64
+	Clock   time.Duration
 	// ReconnectedAt is when the store last answered again after calls had failed; zero if none has failed yet.
 	ReconnectedAt time.Time
 }
@@ -275,7 +277,7 @@
 func (f *Follower) deliver(page Page, complete bool) {
 	f.version = max(f.version, page.Version)
 	reconnectedAt := f.recordAnswer(page)
-	f.Handle(Batch{Complete: complete, Rows: page.Rows, Clock: page.Clock, ReconnectedAt: reconnectedAt})
+	f.Handle(Batch{Complete: complete, Rows: page.Rows, Version: page.Version, Clock: page.Clock, ReconnectedAt: reconnectedAt})
 	if f.Mirror != nil {
 		f.Mirror.apply(page, complete, reconnectedAt, time.Now())
 	}
