Bound the requests of all instances to cold servers

A server that has just started sustains only the rate ColdPerS of its service and crashes well above it, but each instance sent it as much as to any other. Two instances, chosen by rendezvous hashing, may now send to a cold server, each at most its share of the rate in a second; the others drop it as a candidate. The allowance is used in the step that begins an attempt. A server also counts as cold after a failed connection and after the evacuation of its zone, because its row may not say so yet, and a process that has just started owns nothing. Services without a rate are served as before.

--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -45,6 +45,8 @@
 	entry Entry
 	// coldUntil is when the server is expected to reach its normal speed.
 	coldUntil time.Time
+	// peerColdUntil is the same as far as a peer knows.
+	peerColdUntil time.Time
 	// removeAt is when the row is removed from the table unless its entry is written again; zero while the entry exists.
 	removeAt time.Time
 	// addressReused is set once another server has answered at the address.
@@ -213,6 +215,8 @@
 	MaxInFlight int
 	// Evacuations are the evacuated availability zones; nil if there are none.
 	Evacuations *evacuation.View
+	// Cold is set if requests to the cold servers of the service are bounded.
+	Cold *ColdStart
 }
 
 // Candidates returns the servers of the service in the form that the routing policy evaluates.
@@ -251,6 +255,7 @@
 		ResponseTime:  r.health.responseTime,
 		FailureRate:   r.health.decayedFailureRate(now),
 		Cold:          now.Before(r.coldUntil),
+		ColdFor:       r.coldFor(q, now),
 	}
 }
 
@@ -287,11 +292,14 @@
 	for _, entry := range entries {
 		present[entry.ID] = true
 		r, ok := d.rows[entry.ID]
-		if ok && r.entry.sameProcess(entry) {
-			r.entry.Leaving = r.entry.Leaving || entry.Leaving
-			continue
+		if !ok || !r.entry.sameProcess(entry) {
+			peerEntry := entry
+			peerEntry.ColdDuration = 0
+			d.put(peerEntry, now)
+			r = d.rows[entry.ID]
 		}
-		d.put(entry, now)
+		r.entry.Leaving = r.entry.Leaving || entry.Leaving
+		r.extendCold(now.Add(entry.ColdDuration))
 	}
 	for id, r := range d.rows {
 		if !present[id] {
--- a/internal/backend/health.go
+++ b/internal/backend/health.go
@@ -26,6 +26,8 @@
 	// connectFailures counts consecutive failures to connect; the server gets no requests until ejectedUntil.
 	connectFailures int
 	ejectedUntil    time.Time
+	// lastConnectFailure is when a connection could last not be established. The server may have restarted since without its entry saying so.
+	lastConnectFailure time.Time
 }
 
 // decayedFailureRate returns the failure rate after its exponential decay since the last attempt.
@@ -50,6 +52,7 @@
 func (h *health) recordConnectFailure(now time.Time) {
 	h.ejectedUntil = now.Add(min(maxEjection, initialEjection<<min(h.connectFailures, 4)))
 	h.connectFailures++
+	h.lastConnectFailure = now
 }
 
 // recordResponseTime ends an ejection and updates the moving average of the response time.
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -11,6 +11,7 @@
 
 	"github.com/cicadawall/cicadawall/internal/api"
 	"github.com/cicadawall/cicadawall/internal/backend"
+	"github.com/cicadawall/cicadawall/internal/coldstart"
 	"github.com/cicadawall/cicadawall/internal/crashguard"
 	"github.com/cicadawall/cicadawall/internal/evacuation"
 	"github.com/cicadawall/cicadawall/internal/gateway"
@@ -90,7 +91,12 @@
 	peakInstances int
 	// fleetKnown is set once this instance has read a list of all instances. Before, peakInstances may be far too small.
 	fleetKnown bool
-	roundCount int
+	// membersKnown is set once that list came from the store or from a peer that knows all instances. absent holds, by address, the processes
+	// that have not been reachable since. members are derived from both.
+	membersKnown bool
+	absent       map[string]absence
+	members      *coldstart.Members
+	roundCount   int
 	// fetching is set while the configuration is fetched from a peer. Only one fetch runs at a time, because it may be large.
 	fetching bool
 }
@@ -98,7 +104,7 @@
 // New returns an exchange that knows only the addresses of the seeds.
 func New(options Options) *Exchange {
 	return &Exchange{Options: options, mu: lockorder.New(lockorder.RankPeers), peers: map[string]api.GatewayInstance{},
-		lostSince: map[string]time.Time{}}
+		lostSince: map[string]time.Time{}, absent: map[string]absence{}}
 }
 
 // InstanceCount returns the number of known instances, including this one.
@@ -108,11 +114,16 @@
 	return 1 + len(e.peers)
 }
 
-// MarkFleetKnown records that this instance has read a list of all instances.
-func (e *Exchange) MarkFleetKnown() {
+// MarkFleetKnown records that this instance has read a list of all instances from the store.
+func (e *Exchange) MarkFleetKnown() { e.markFleetKnown(true, time.Now()) }
+
+// markFleetKnown records that this instance has read a list of all instances; complete says that its source knew all of them.
+func (e *Exchange) markFleetKnown(complete bool, now time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.fleetKnown = true
+	e.membersKnown = e.membersKnown || complete
+	e.updateMembers(now)
 }
 
 // FleetSize returns the largest number of instances that were known at once, or 0 as long as no list of all instances has been read.
@@ -175,7 +186,14 @@
 	known := e.peers[instance.PeerAddress].Incarnation == instance.Incarnation
 	e.peers[instance.PeerAddress] = instance
 	e.peakInstances = max(e.peakInstances, 1+len(e.peers))
-	return !known
+	if known {
+		return false
+	}
+	if a, absent := e.absent[instance.PeerAddress]; absent && a.incarnation != instance.Incarnation {
+		delete(e.absent, instance.PeerAddress)
+	}
+	e.updateMembers(time.Now())
+	return true
 }
 
 // selectPeers returns random peers and seeds for one round. In a fleet with relays these are one peer of the own availability zone and
@@ -289,12 +307,15 @@
 	switch {
 	case err == nil:
 		delete(e.lostSince, address)
+		delete(e.absent, address)
 	case since.IsZero():
 		e.lostSince[address] = now
+		e.recordAbsence(address, now)
 	case now.Sub(since) > peerExpiry:
 		delete(e.lostSince, address)
 		delete(e.peers, address)
 	}
+	e.updateMembers(now)
 	e.mu.Unlock()
 	switch {
 	case err != nil && since.IsZero():
--- a/internal/exchange/merge.go
+++ b/internal/exchange/merge.go
@@ -23,7 +23,7 @@
 		e.PutPeer(instance)
 	}
 	if len(state.Instances) > 0 {
-		e.MarkFleetKnown()
+		e.markFleetKnown(state.InstancesKnown, now)
 	}
 	if state.ConfigurationVersion > e.Configurations.Version() && e.beginFetch() {
 		go e.fetchConfiguration(address, state.ConfigurationVersion)
@@ -145,6 +145,7 @@
 		entries = append(entries, backend.Entry{
 			ID: s.Id, Service: s.Service, Address: s.Address, AvailabilityZone: s.AvailabilityZone, Software: s.Software,
 			Slots: s.Slots, Leaving: s.Leaving, StartedUnixMillis: s.StartedUnixMilli,
+			ColdDuration: time.Duration(max(0, s.ColdMillis)) * time.Millisecond,
 		})
 	}
 	e.Directory.MergePeerList(entries, now)
--- a/internal/exchange/state.go
+++ b/internal/exchange/state.go
@@ -17,6 +17,7 @@
 func (e *Exchange) State(query api.GatewayQuery) api.GatewayState {
 	now := time.Now()
 	e.PutPeer(query.From)
+	e.recordContact(query.From.PeerAddress, now)
 	e.mergeCounts(query.From.Incarnation, query.Counts)
 	e.mergeCrashes(query.Crashes, now)
 	e.mergeLeaving(query.Leaving, now)
@@ -35,6 +36,7 @@
 	}
 	if query.Full || query.Discover {
 		state.Instances = e.knownInstances()
+		state.InstancesKnown = e.Members() != nil
 	}
 	for _, view := range e.Migrations.Views(now) {
 		state.Migrations = append(state.Migrations, api.GatewayMigration{
@@ -46,7 +48,7 @@
 	}
 	if query.Full && !e.StoreUnavailable(now) {
 		state.ServersComplete = e.Directory.Loaded()
-		state.Servers = e.knownServers()
+		state.Servers = e.knownServers(now)
 	}
 	return state
 }
@@ -93,13 +95,14 @@
 }
 
 // knownServers returns the entries of the directory.
-func (e *Exchange) knownServers() []api.GatewayServer {
-	entries := e.Directory.Entries()
+func (e *Exchange) knownServers(now time.Time) []api.GatewayServer {
+	entries, cold := e.Directory.Entries(), e.Directory.ColdServers(now)
 	servers := make([]api.GatewayServer, 0, len(entries))
 	for _, entry := range entries {
 		servers = append(servers, api.GatewayServer{
 			Id: entry.ID, Service: entry.Service, Address: entry.Address, AvailabilityZone: entry.AvailabilityZone,
 			Software: entry.Software, Slots: entry.Slots, Leaving: entry.Leaving, StartedUnixMilli: entry.StartedUnixMillis,
+			ColdMillis: cold[entry.ID].Milliseconds(),
 		})
 	}
 	return servers
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -8,12 +8,6 @@
 	"github.com/cicadawall/cicadawall/internal/routing"
 )
 
-// candidates returns the servers that may run the request, with what other tables know about them.
-func (r *requestJob) candidates(query backend.Query, now time.Time) []routing.Candidate {
-	query.Evacuations = r.gateway.Evacuations.View()
-	return r.gateway.Directory.Candidates(query, now)
-}
-
 // chooseServer applies the routing policy. If no server is eligible it also considers, step by step, servers that were tried
 // before, ejected servers, and servers of another version.
 func (r *requestJob) chooseServer(candidates []routing.Candidate, now time.Time) routing.Choice {
--- a/internal/gateway/configuration.go
+++ b/internal/gateway/configuration.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/cicadawall/cicadawall/internal/coldstart"
 	"github.com/cicadawall/cicadawall/internal/lockorder"
 )
 
@@ -67,6 +68,8 @@
 	MaxConnections int
 	// ModelCosts is the cost of 1,000 generated tokens by model.
 	ModelCosts map[string]float64
+	// ColdStart bounds the requests to cold servers; the zero value is no bound.
+	ColdStart coldstart.Bound
 }
 
 // Organisation is a customer with its API keys.
--- a/internal/gateway/finish.go
+++ b/internal/gateway/finish.go
@@ -69,6 +69,9 @@
 		// Callers return one after the other when servers want requests again, rather than in one burst.
 		return fault.NotRun(fault.StepChoose, fault.CodeNoBackendServer,
 			"all backend servers ask for time").WithRetryAfter(r.backoff + spread(r.backoff, r.rng))
+	case r.coldWait > 0:
+		return fault.NotRun(fault.StepChoose, fault.CodeNoBackendServer,
+			"all backend servers are cold and take no further request now").WithRetryAfter(r.coldWait)
 	default:
 		return fault.NotRun(fault.StepChoose, fault.CodeNoBackendServer,
 			"no backend server accepts the request now").WithRetryAfter(refusalRetryAfter)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,6 +11,7 @@
 
 	"github.com/cicadawall/cicadawall/internal/admission"
 	"github.com/cicadawall/cicadawall/internal/backend"
+	"github.com/cicadawall/cicadawall/internal/coldstart"
 	"github.com/cicadawall/cicadawall/internal/crashguard"
 	"github.com/cicadawall/cicadawall/internal/evacuation"
 	"github.com/cicadawall/cicadawall/internal/fault"
@@ -54,6 +55,7 @@
 	Versions         VersionSelector
 	Crashes          *crashguard.Table
 	Evacuations      *evacuation.Table
+	ColdStarts       *coldstart.Table
 	RetryBudget      *retry.SharedBudget
 	InstanceCount    func() int
 	Metrics          *Metrics
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/cicadawall/cicadawall/internal/api"
 	"github.com/cicadawall/cicadawall/internal/backend"
+	"github.com/cicadawall/cicadawall/internal/coldstart"
 	"github.com/cicadawall/cicadawall/internal/crashguard"
 	"github.com/cicadawall/cicadawall/internal/evacuation"
 	"github.com/cicadawall/cicadawall/internal/fault"
@@ -162,6 +163,9 @@
 	}).Compile()
 }
 
+// testMembers is a fleet of one instance.
+var testMembers = &coldstart.Members{Addresses: []string{"self"}}
+
 // newGateway returns a gateway that knows the given number of servers.
 func newGateway(servers int, backends Backends, log *slog.Logger) *Gateway {
 	configurations := NewConfigurationTable()
@@ -175,6 +179,10 @@
 		AvailabilityZone: "z", Configurations: configurations, Directory: directory, Backends: backends, Versions: noPreference{},
 		Crashes:     crashguard.NewTable(crashguard.Options{MayTry: func(string) bool { return true }, Log: log}),
 		Evacuations: evacuation.NewTable(evacuation.Options{Started: time.Now(), Log: log}),
+		ColdStarts: coldstart.NewTable(coldstart.Options{
+			Self: "self", Members: func() *coldstart.Members { return testMembers }, Started: time.Now().Add(-time.Minute),
+			Limits: coldstart.Limits{Overshoot: 1.5, Slack: 5},
+		}),
 		RetryBudget: retry.NewSharedBudget(retry.SharedBudgetOptions{
 			Ratio: 0.9, Slack: 20, Window: 10 * time.Second, Instances: func() int { return 1 }, Log: log,
 		}),
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -70,6 +70,8 @@
 	newConnection bool
 	// backoff is the time until the first server wants requests again, if no server was eligible because all asked for a backoff.
 	backoff time.Duration
+	// coldWait is the time until a server may get a request, if all servers that accept requests are cold and may get none now.
+	coldWait time.Duration
 	// crashes counts the attempts whose server may have ended because it began to answer the request.
 	crashes int
 	// hold says whether the request may be sent to a server, as of the last check.
@@ -193,9 +195,9 @@
 	}
 	query := backend.Query{Service: r.service.Name, Model: r.model, Prompt: r.request.Prompt, MaxInFlight: r.maxInFlight()}
 	candidates := r.candidates(query, now)
-	choice := r.chooseServer(candidates, now)
+	choice := r.chooseAllowedServer(candidates, now)
 	if !choice.Found {
-		r.backoff = routing.ShortestBackoff(candidates, now)
+		r.backoff, r.coldWait = routing.ShortestBackoff(candidates, now), routing.ShortestColdWait(candidates, now)
 		r.finishUnanswered()
 		return nil, false
 	}
--- a/internal/routing/gateway.go
+++ b/internal/routing/gateway.go
@@ -67,6 +67,35 @@
 	return shortest
 }
 
+// ColdFilter drops cold servers to which this instance may not send a request now.
+type ColdFilter struct{}
+
+// DropReason implements Filter.
+func (ColdFilter) DropReason(c *Candidate, _ *Request, _ time.Time) Reason {
+	if c.ColdWait > 0 {
+		return ReasonCold
+	}
+	return ReasonNone
+}
+
+// ShortestColdWait returns the time until the first of the candidates may get a request if all that accept requests are cold; zero otherwise.
+func ShortestColdWait(candidates []Candidate, now time.Time) time.Duration {
+	shortest := time.Duration(0)
+	for i := range candidates {
+		c := &candidates[i]
+		if c.Leaving || c.Evacuated || now.Before(c.BackoffUntil) {
+			continue
+		}
+		if c.ColdWait <= 0 {
+			return 0
+		}
+		if shortest == 0 || c.ColdWait < shortest {
+			shortest = c.ColdWait
+		}
+	}
+	return shortest
+}
+
 // InFlightLimitFilter drops servers at which this instance already uses its share of the connections.
 type InFlightLimitFilter struct{}
 
@@ -146,7 +175,7 @@
 // PromptPolicy chooses a server for a request with a prompt.
 func PromptPolicy() Policy {
 	return Policy{
-		Filters: []Filter{EvacuatedFilter{}, SoftwareVersionFilter{}, LeavingFilter{}, BackoffFilter{}, EjectedFilter{}, TriedFilter{}, InFlightLimitFilter{}},
+		Filters: []Filter{EvacuatedFilter{}, SoftwareVersionFilter{}, LeavingFilter{}, BackoffFilter{}, EjectedFilter{}, TriedFilter{}, InFlightLimitFilter{}, ColdFilter{}},
 		Scorers: []Scorer{PrefillScorer{}, PartitionScorer{}, FailureScorer{}, ZoneScorer{}},
 		Picker:  LowestScore{},
 	}
@@ -155,7 +184,7 @@
 // PlainPolicy chooses a server for a request without a prompt.
 func PlainPolicy() Policy {
 	return Policy{
-		Filters: []Filter{EvacuatedFilter{}, SoftwareVersionFilter{}, LeavingFilter{}, BackoffFilter{}, EjectedFilter{}, TriedFilter{}, InFlightLimitFilter{}},
+		Filters: []Filter{EvacuatedFilter{}, SoftwareVersionFilter{}, LeavingFilter{}, BackoffFilter{}, EjectedFilter{}, TriedFilter{}, InFlightLimitFilter{}, ColdFilter{}},
 		Scorers: []Scorer{ResponseTimeScorer{}, FailureScorer{}, ZoneScorer{}},
 		Picker:  LowestScore{},
 	}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -56,6 +56,10 @@
 	FailureRate float64
 	// Cold is set while the server is warming up after its start.
 	Cold bool
+	// ColdFor is how long the requests to the server remain bounded because it is cold; zero if they are not. ColdWait is the time until this
+	// instance may send it a request; zero if it may now.
+	ColdFor  time.Duration
+	ColdWait time.Duration
 	// OutsidePartition is set if the server is outside the model's partition and serves other models; see
 	// Policy.MarkPartition.
 	OutsidePartition bool
@@ -127,6 +131,7 @@
 	ReasonEjected   Reason = "ejected"
 	ReasonTried     Reason = "used by an earlier attempt"
 
+	ReasonCold          Reason = "cold"
 	ReasonOtherSoftware Reason = "other software version"
 	ReasonInFlightLimit Reason = "share of connections in use"
 )
