--- a/internal/exchange/merge.go
+++ b/internal/exchange/merge.go
@@ -14,11 +14,16 @@
 // table that peers have seen. The peer's server list is merged only if useServers is set, because the list may be older
 // than this instance's if this instance is up to date.
 func (e *Exchange) mergeState(address string, state api.GatewayState, useServers bool, now time.Time) bool {
+	// Evacuations come first: neither a configuration nor servers of this peer are used before.
+	e.mergeEvacuations(address, state.Evacuations, now)
+	if state.EvacuationsKnown {
+		e.Evacuations.MarkKnown(state.EvacuationEndsKnown)
+	}
 	for _, instance := range state.Instances {
 		e.PutPeer(instance)
 	}
 	if len(state.Instances) > 0 {
-		e.MarkFleetKnown()
+		e.markFleetKnown(state.InstancesKnown, now)
 	}
 	if state.ConfigurationVersion > e.Configurations.Version() && e.beginFetch() {
 		go e.fetchConfiguration(address, state.ConfigurationVersion)
@@ -140,6 +145,7 @@
 		entries = append(entries, backend.Entry{
 			ID: s.Id, Service: s.Service, Address: s.Address, AvailabilityZone: s.AvailabilityZone, Software: s.Software,
 			Slots: s.Slots, Leaving: s.Leaving, StartedUnixMillis: s.StartedUnixMilli,
+			ColdDuration: time.Duration(max(0, s.ColdMillis)) * time.Millisecond,
 		})
 	}
 	e.Directory.MergePeerList(entries, now)
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -14,7 +14,7 @@
 	chosenModel, triedServers := r.model, r.triedServers
 	defer func() { r.model, r.triedServers = chosenModel, triedServers }()
 	r.model, r.triedServers = model, tried
-	return r.chooseServer(r.gateway.Directory.Candidates(r.query(), now), now)
+	return r.chooseServer(r.candidates(r.query(), now), now)
 }
 
 // query describes an attempt with the current model.
--- a/internal/gateway/configuration.go
+++ b/internal/gateway/configuration.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/cicadawall/cicadawall/internal/coldstart"
 	"github.com/cicadawall/cicadawall/internal/lockorder"
 )
 
@@ -70,6 +71,8 @@
 	ModelCosts map[string]float64
 	// EngineSlots is the number of requests that the engine of one server runs in a batch; zero for a service without an engine.
 	EngineSlots int
+	// ColdStart bounds the requests to cold servers; the zero value is no bound.
+	ColdStart coldstart.Bound
 }
 
 // workWeight returns the time that a token of the model takes relative to one of the largest model. Costs are declared in proportion to the
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,7 +11,9 @@
 
 	"github.com/cicadawall/cicadawall/internal/admission"
 	"github.com/cicadawall/cicadawall/internal/backend"
+	"github.com/cicadawall/cicadawall/internal/coldstart"
 	"github.com/cicadawall/cicadawall/internal/crashguard"
+	"github.com/cicadawall/cicadawall/internal/evacuation"
 	"github.com/cicadawall/cicadawall/internal/fault"
 	"github.com/cicadawall/cicadawall/internal/migration"
 	"github.com/cicadawall/cicadawall/internal/retry"
@@ -53,6 +55,8 @@
 	Backends         Backends
 	Versions         VersionSelector
 	Crashes          *crashguard.Table
+	Evacuations      *evacuation.Table
+	ColdStarts       *coldstart.Table
 	RetryBudget      *retry.SharedBudget
 	InstanceCount    func() int
 	Loads            *serverload.Table
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -26,6 +26,8 @@
 	Zone     string
 	Versions []declaration.VersionID
 	Leaving  bool
+	// Evacuated is set if the operator has evacuated the server's availability zone.
+	Evacuated bool
 	// BackoffUntil is the time until which the server asked to get no requests.
 	BackoffUntil time.Time
 	EjectedUntil time.Time
@@ -60,6 +62,10 @@
 	FailureRate float64
 	// Cold is set while the server is warming up after its start.
 	Cold bool
+	// ColdFor is how long the requests to the server remain bounded because it is cold; zero if they are not. ColdWait is the time until this
+	// instance may send it a request; zero if it may now.
+	ColdFor  time.Duration
+	ColdWait time.Duration
 	// OutsidePartition is set if the server is outside the model's partition and serves other models; see
 	// Policy.MarkPartition.
 	OutsidePartition bool
@@ -130,10 +136,12 @@
 	ReasonNone      Reason = ""
 	ReasonNotLoaded Reason = "version not loaded"
 	ReasonLeaving   Reason = "leaving"
+	ReasonEvacuated Reason = "availability zone evacuated"
 	ReasonBackoff   Reason = "backoff"
 	ReasonEjected   Reason = "ejected"
 	ReasonTried     Reason = "used by an earlier attempt"
 
+	ReasonCold          Reason = "cold"
 	ReasonOtherSoftware Reason = "other software version"
 	ReasonInFlightLimit Reason = "share of connections in use"
 )
@@ -168,7 +176,7 @@
 // DefaultPolicy returns the policy for engines, used in production.
 func DefaultPolicy() Policy {
 	return Policy{
-		Filters: []Filter{VersionLoadedFilter{}, LeavingFilter{}, EjectedFilter{}, TriedFilter{}},
+		Filters: []Filter{VersionLoadedFilter{}, EvacuatedFilter{}, LeavingFilter{}, EjectedFilter{}, TriedFilter{}},
 		Scorers: []Scorer{LoadScorer{}, PrefixScorer{}, ZoneScorer{}},
 		Picker:  TwoChoices{},
 	}
