Add the command where, which explains where a request would go

Operators could not see why an instance on the users' platform would choose a backend server without sending a request. The decisions of the request path are now in functions that Explain uses as well; those that count requests have a variant that changes nothing.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -87,30 +87,19 @@
 func (q *Queue) submit(item Item, now time.Time) ([]refusal, *fault.Error) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if q.closed {
-		return nil, drainingError()
-	}
-	if !item.Deadline.IsZero() && !now.Before(item.latestStart()) {
-		return nil, deadlineUnreachableError(&item, now, 0)
+	decision, rejection := q.decide(&item, &q.rate, now)
+	if rejection != nil {
+		return nil, rejection
 	}
-	if nextIdle := q.idleWorkers.Front(); nextIdle != nil {
-		q.idleWorkers.Remove(nextIdle)
-		nextIdle.Value.(chan worker.Job) <- item.Job
+	if decision.idleWorker != nil {
+		q.idleWorkers.Remove(decision.idleWorker)
+		decision.idleWorker.Value.(chan worker.Job) <- item.Job
 		return nil, nil
 	}
-	q.rate.advance(now)
-	wait, known := q.rate.predictWait(q.tokensAhead(&item))
-	if known && !item.Deadline.IsZero() && now.Add(wait).After(item.latestStart()) {
-		return nil, deadlineUnreachableError(&item, now, wait)
-	}
 	var shed []refusal
-	if q.length >= q.capacity {
-		victim := q.entryToShed(&item)
-		if victim == nil {
-			return nil, q.queueFullError()
-		}
+	if victim := decision.shed; victim != nil {
 		q.remove(victim)
-		shed = append(shed, refusal{item: victim.item, fault: q.queueFullError()})
+		shed = append(shed, refusal{item: victim.item, fault: q.queueFullError(&q.rate)})
 	}
 	q.push(item, now)
 	return shed, nil
@@ -327,13 +316,13 @@
 	return stats
 }
 
-func (q *Queue) queueFullError() *fault.Error {
+func (q *Queue) queueFullError(rate *serviceRate) *fault.Error {
 	var tokens float64
 	for _, fq := range q.fairQueues {
 		tokens += fq.queuedTokens
 	}
 	// Once a tenth of the queue has been served, a retry is likely to be accepted.
-	wait, _ := q.rate.predictWait(tokens / 10)
+	wait, _ := rate.predictWait(tokens / 10)
 	return fault.NotRun(fault.StepAdmit, fault.CodeQueueFull, fmt.Sprintf("the queue of %d requests is full", q.capacity)).
 		WithAdvice("repeat the request after the stated wait").
 		WithRetryAfter(clampRetryAfter(wait))
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -22,6 +22,7 @@
 	Config   *ConfigCommand   `arg:"subcommand:config" help:"validate, compare, apply and show the shared declaration"`
 	Status   *StatusCommand   `arg:"subcommand:status" help:"show targets and what is reached at an instance"`
 	Explain  *ExplainCommand  `arg:"subcommand:explain" help:"show why a request ran, or would run, where it does"`
+	Where    *WhereCommand    `arg:"subcommand:where" help:"show where an instance on the users' platform would send a request"`
 	Version  *VersionCommand  `arg:"subcommand:version" help:"print the release"`
 }
 
@@ -72,6 +73,8 @@
 		return a.Status.run(context.Background(), printer{out: stdout, errOut: stderr})
 	case a.Explain != nil:
 		return a.Explain.run(context.Background(), printer{out: stdout, errOut: stderr})
+	case a.Where != nil:
+		return a.Where.run(context.Background(), printer{out: stdout, errOut: stderr})
 	case a.Version != nil:
 		fmt.Fprintln(stdout, "cicadawall", Version)
 		return ExitOK
--- a/internal/crashguard/table.go
+++ b/internal/crashguard/table.go
@@ -86,6 +86,22 @@
 
 // Check decides whether a request may be sent to a server. With trial, an earlier check of the same request made it the trial.
 func (t *Table) Check(service string, prompt []backend.PromptPart, trial bool, now time.Time) Verdict {
+	return t.check(service, prompt, trial, now, t.beginTrial)
+}
+
+// Preview returns what Check would return, without beginning a trial.
+func (t *Table) Preview(service string, prompt []backend.PromptPart, trial bool, now time.Time) Verdict {
+	return t.check(service, prompt, trial, now, func(hold Hold, now time.Time) bool {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		return t.mayBeginTrial(hold, now)
+	})
+}
+
+// check decides on a request. The function mayTry decides whether the request may be the trial of a hold.
+func (t *Table) check(
+	service string, prompt []backend.PromptPart, trial bool, now time.Time, mayTry func(hold Hold, now time.Time) bool,
+) Verdict {
 	hold, ok := t.holdOf(service, prompt)
 	if !ok {
 		return Verdict{}
@@ -93,14 +109,10 @@
 	if wait := hold.Until.Sub(now); wait > 0 {
 		return Verdict{Held: true, RetryAfter: wait}
 	}
-	if trial {
+	if trial || t.MayTry(hold.name()) && mayTry(hold, now) {
 		return Verdict{Trial: true}
 	}
-	if !t.MayTry(hold.name()) || !t.beginTrial(hold.name(), now) {
-		return Verdict{Held: true, RetryAfter: trialTimeout}
-	}
-	t.Log.Info("held prompt is tried at a backend server", "service", service, "parts", hold.Parts, "crashes", hold.Crashes)
-	return Verdict{Trial: true}
+	return Verdict{Held: true, RetryAfter: trialTimeout}
 }
 
 // holdOf returns the hold that covers a request.
@@ -119,15 +131,24 @@
 	return Hold{}, false
 }
 
-// beginTrial reports whether a trial of the hold may begin now.
-func (t *Table) beginTrial(name string, now time.Time) bool {
+// mayBeginTrial reports whether a trial of the hold may begin now. The caller holds the lock.
+func (t *Table) mayBeginTrial(hold Hold, now time.Time) bool {
+	last, ok := t.trials[hold.name()]
+	return !ok || now.Sub(last) >= trialTimeout
+}
+
+// beginTrial begins a trial of the hold and reports whether it may begin now.
+func (t *Table) beginTrial(hold Hold, now time.Time) bool {
 	t.mu.Lock()
-	defer t.mu.Unlock()
-	if last, ok := t.trials[name]; ok && now.Sub(last) < trialTimeout {
-		return false
+	may := t.mayBeginTrial(hold, now)
+	if may {
+		t.trials[hold.name()] = now
+	}
+	t.mu.Unlock()
+	if may {
+		t.Log.Info("held prompt is tried at a backend server", "service", hold.Service, "parts", hold.Parts, "crashes", hold.Crashes)
 	}
-	t.trials[name] = now
-	return true
+	return may
 }
 
 // Holds returns the holds in force.
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -11,7 +11,7 @@
 // chooseServer applies the routing policy. If no server is eligible it also considers, step by step, servers that were tried
 // before, ejected servers, and servers of another version.
 func (r *requestJob) chooseServer(candidates []routing.Candidate, now time.Time) routing.Choice {
-	preference := r.gateway.Versions.Choose(r.service.Name, r.request.sessionID(), len(r.request.Prompt) == 0, now)
+	preference := r.versionPreference(now)
 	policy := routing.PlainPolicy()
 	if r.route.HasPrompt {
 		policy = routing.PromptPolicy()
@@ -24,24 +24,24 @@
 		request.ExcludedSoftware = append(slices.Clone(request.ExcludedSoftware), preference.Avoid)
 	}
 	if r.route.HasPrompt {
-		from, to := r.gateway.models.serverRange(r.service, r.model, now)
+		from, to := r.serverRange(now)
 		policy.MarkPartition(candidates, request, from, to, now)
 		backend.MarkHomeServer(candidates, r.model, r.request.Prompt)
 	}
-	choice, _ := policy.Choose(candidates, request, now, r.rng)
+	choice := r.applyPolicy(FallbackNone, policy, candidates, request, now)
 	if !choice.Found && len(r.triedServers) > 0 {
 		request.Exclude = nil
-		choice, _ = policy.Choose(candidates, request, now, r.rng)
+		choice = r.applyPolicy(FallbackTried, policy, candidates, request, now)
 	}
 	if !choice.Found {
 		for i := range candidates {
 			candidates[i].EjectedUntil = time.Time{}
 		}
-		choice, _ = policy.Choose(candidates, request, now, r.rng)
+		choice = r.applyPolicy(FallbackEjected, policy, candidates, request, now)
 	}
 	if !choice.Found && (preference.Use != "" || preference.Avoid != "") {
 		request.RequiredSoftware, request.ExcludedSoftware = "", preference.Withdrawn
-		choice, _ = policy.Choose(candidates, request, now, r.rng)
+		choice = r.applyPolicy(FallbackVersion, policy, candidates, request, now)
 	}
 	return choice
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -40,6 +40,8 @@
 	// Choose returns the preferred version for a request of a session. Requests without a prompt are sessionless: their session
 	// names only the request.
 	Choose(service, session string, sessionless bool, now time.Time) migration.Preference
+	// Preview returns what Choose would return, without counting the request.
+	Preview(service, session string, sessionless bool, now time.Time) migration.Preference
 	// Observe records an answer of a version to a request of a class. The latency is the time until the answer began.
 	Observe(service, version, class string, bad bool, latency time.Duration)
 }
@@ -94,8 +96,12 @@
 
 // Serve answers one request and returns when the answer is complete.
 func (g *Gateway) Serve(ctx context.Context, request *Request, caller Caller) {
-	job, refusal := g.admit(request, caller)
-	if refusal != nil {
+	g.serve(ctx, request, caller, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+}
+
+func (g *Gateway) serve(ctx context.Context, request *Request, caller Caller, rng *rand.Rand) {
+	job := g.newJob(request, caller, rng)
+	if refusal := g.admit(job); refusal != nil {
 		job.refuse(refusal)
 		return
 	}
@@ -108,26 +114,30 @@
 	<-job.done
 }
 
-// admit resolves the route, organisation and service of a request. The returned job is valid even if the request is refused.
-func (g *Gateway) admit(request *Request, caller Caller) (*requestJob, *fault.Error) {
-	job := &requestJob{gateway: g, request: request, caller: caller, route: &Route{},
-		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
+// newJob returns the job of a request that is not yet admitted.
+func (g *Gateway) newJob(request *Request, caller Caller, rng *rand.Rand) *requestJob {
+	return &requestJob{gateway: g, request: request, caller: caller, route: &Route{}, rng: rng}
+}
+
+// admit resolves the route, organisation and service of a request. The job is valid even if the request is refused.
+func (g *Gateway) admit(job *requestJob) *fault.Error {
+	request := job.request
 	configuration := g.Configurations.Current()
 	if configuration == nil {
-		return job, fault.NotRun(fault.StepConfigure, fault.CodeConfigurationStale,
+		return fault.NotRun(fault.StepConfigure, fault.CodeConfigurationStale,
 			"no configuration has been loaded yet").WithRetryAfter(startupRetryAfter)
 	}
 	job.configuration = configuration
 	route := configuration.Route(request.Host, request.Path)
 	if route == nil {
-		return job, fault.NotRun(fault.StepDecode, fault.CodeUnknownService, "no route matches this host and path")
+		return fault.NotRun(fault.StepDecode, fault.CodeUnknownService, "no route matches this host and path")
 	}
 	job.route = route
 	priority := route.Priority
 	if configuration.NeedsKey(route) {
 		organisation := configuration.Organisation(request.Key)
 		if organisation == nil {
-			return job, fault.NotRun(fault.StepAuthenticate, fault.CodeUnauthenticated, "the API key is unknown")
+			return fault.NotRun(fault.StepAuthenticate, fault.CodeUnauthenticated, "the API key is unknown")
 		}
 		job.organisation = organisation.Name
 		if organisation.Priority != nil {
@@ -140,9 +150,9 @@
 	job.service = configuration.Service(pickService(route.Services, job.rng))
 	job.deadline = requestDeadline(route, request)
 	if job.isHeld(request.Arrived) {
-		return job, job.finalRefusal()
+		return job.finalRefusal()
 	}
-	return job, nil
+	return nil
 }
 
 // requestDeadline returns the time by which the answer must be complete; zero if there is none.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -136,6 +136,9 @@
 func (noPreference) Choose(string, string, bool, time.Time) migration.Preference {
 	return migration.Preference{}
 }
+func (n noPreference) Preview(service, session string, sessionless bool, now time.Time) migration.Preference {
+	return n.Choose(service, session, sessionless, now)
+}
 func (noPreference) Observe(service, version, class string, bad bool, took time.Duration) {}
 
 // testConfiguration returns a configuration with a route of each kind and one without authentication.
--- a/internal/gateway/models.go
+++ b/internal/gateway/models.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -96,12 +97,15 @@
 	}
 	row, ok := models[model]
 	if !ok {
-		row = &modelLoad{work: workPrior, updatedAt: now}
+		row = newModelLoad(now)
 		models[model] = row
 	}
 	return row
 }
 
+// newModelLoad returns the load that is assumed for a model before its first request.
+func newModelLoad(now time.Time) *modelLoad { return &modelLoad{work: workPrior, updatedAt: now} }
+
 func (l *modelLoad) decayedWork(now time.Time) float64 {
 	return l.work * math.Exp2(-float64(now.Sub(l.updatedAt))/float64(workHalfLife))
 }
@@ -135,18 +139,30 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.row(service, model, now)
-	models := t.rows[service.Name]
-	names := make([]string, 0, len(models))
+	return modelRange(service, t.rows[service.Name], model, now)
+}
+
+// previewServerRange returns what serverRange would return, without adding a row for the model.
+func (t *modelTable) previewServerRange(service *Service, model string, now time.Time) (from, to float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	models := map[string]*modelLoad{model: newModelLoad(now)}
+	maps.Copy(models, t.rows[service.Name])
+	return modelRange(service, models, model, now)
+}
+
+// modelRange returns the servers that a model should use, given the loads of all models of the service. It adds them up in alphabetical
+// order: the order changes the last digit of a sum, and with it the rounding to whole servers.
+func modelRange(service *Service, models map[string]*modelLoad, model string, now time.Time) (from, to float64) {
+	names := slices.Sorted(maps.Keys(models))
 	weights := tokenWeights(service, models)
 	total := 0.0
-	for name, row := range models {
-		names = append(names, name)
-		total += row.decayedWork(now) * weights[name]
+	for _, name := range names {
+		total += models[name].decayedWork(now) * weights[name]
 	}
 	if total <= 0 {
 		return 0, 1
 	}
-	slices.Sort(names)
 	for _, name := range names {
 		fraction := models[name].decayedWork(now) * weights[name] / total
 		if name == model {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -13,7 +13,6 @@
 	"github.com/cicadawall/cicadawall/internal/backend"
 	"github.com/cicadawall/cicadawall/internal/crashguard"
 	"github.com/cicadawall/cicadawall/internal/fault"
-	"github.com/cicadawall/cicadawall/internal/routing"
 )
 
 const (
@@ -101,6 +100,8 @@
 	timeToFirstEvent time.Duration
 	longestPause     time.Duration
 	lastEventAt      time.Time
+	// trace, if set, records the decisions on a request that is only explained. They then change no state.
+	trace *decisionTrace
 }
 
 // queueItem returns the request's entry for the admission queue.
@@ -183,23 +184,17 @@
 // eligible.
 func (r *requestJob) startAttempt() (*backend.Attempt, bool) {
 	now := time.Now()
-	if !r.mayHaveRun() && r.endsAfterStop(now) {
+	next := r.decide(now)
+	choice := next.choice
+	switch {
+	case next.stopping:
 		r.refuse(DrainingRefusal())
 		return nil, false
-	}
-	if r.isHeld(now) || r.sentAttempts+r.unsentAttempts > 0 && !r.mayRetry(now) {
-		r.finishUnanswered()
-		return nil, false
-	}
-	query := backend.Query{Service: r.service.Name, Model: r.model, Prompt: r.request.Prompt, MaxInFlight: r.maxInFlight()}
-	candidates := r.gateway.Directory.Candidates(query, now)
-	choice := r.chooseServer(candidates, now)
-	if !choice.Found {
-		r.backoff = routing.ShortestBackoff(candidates, now)
+	case !choice.Found:
 		r.finishUnanswered()
 		return nil, false
 	}
-	server, ok := r.gateway.Directory.Begin(choice.Server, query, now)
+	server, ok := r.gateway.Directory.Begin(choice.Server, next.query, now)
 	if !ok {
 		r.finishUnanswered()
 		return nil, false
@@ -208,7 +203,7 @@
 	r.triedServers = append(r.triedServers, choice.Server)
 	r.log("attempt started", "server", choice.Server, "version", server.Entry.Software, "model", r.model,
 		"number", r.sentAttempts+r.unsentAttempts, "configuration", r.configuration.Version,
-		"candidates", len(candidates), "eligible", choice.Eligible, "score_ms", choice.Score.Milliseconds(), "after", r.lastEventID)
+		"candidates", len(next.candidates), "eligible", choice.Eligible, "score_ms", choice.Score.Milliseconds(), "after", r.lastEventID)
 	return server, true
 }
 
--- a/internal/migration/table.go
+++ b/internal/migration/table.go
@@ -184,6 +184,18 @@
 // Choose returns which versions may serve a request. Sessionless requests belong to no session; for them, session is a key
 // that distributes the requests over the versions.
 func (t *Table) Choose(service, session string, sessionless bool, now time.Time) Preference {
+	return t.choose(service, session, sessionless, now, (*serviceMigration).takeSlack)
+}
+
+// Preview returns what Choose would return, without counting the request.
+func (t *Table) Preview(service, session string, sessionless bool, now time.Time) Preference {
+	return t.choose(service, session, sessionless, now, (*serviceMigration).hasSlack)
+}
+
+// choose returns which versions may serve a request. The function slackLeft decides whether the request may use the slack.
+func (t *Table) choose(
+	service, session string, sessionless bool, now time.Time, slackLeft func(r *serviceMigration, allowed float64) bool,
+) Preference {
 	slack := t.slackPerInstance()
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -205,7 +217,7 @@
 		}
 	case state == StateCompleted ||
 		sessionPosition(service, target, session) < t.schedule.newVersionFraction(elapsedFraction, sessionless) ||
-		sessionless && r.takeSlack(slack*trialSlackFraction*t.schedule.trialProgress(elapsedFraction)):
+		sessionless && slackLeft(r, slack*trialSlackFraction*t.schedule.trialProgress(elapsedFraction)):
 		preference.Use = target
 	case elapsedFraction < trialStartFraction:
 		preference.Withdrawn = append(preference.Withdrawn, target)
@@ -217,13 +229,16 @@
 
 // takeSlack reports whether one more request may be sent to the target, if so many may be in total, and counts it.
 func (r *serviceMigration) takeSlack(allowed float64) bool {
-	if float64(r.slackUsed+1) > allowed {
+	if !r.hasSlack(allowed) {
 		return false
 	}
 	r.slackUsed++
 	return true
 }
 
+// hasSlack reports whether one more request may be sent to the target, if so many may be in total.
+func (r *serviceMigration) hasSlack(allowed float64) bool { return float64(r.slackUsed+1) <= allowed }
+
 // elapsedFraction returns the time since the order as a fraction of its duration. It is above 1 after the deadline.
 func (r *serviceMigration) elapsedFraction(now time.Time) float64 {
 	if r.order.Duration <= 0 {
--- a/internal/server/gatewayhttp/gatewayhttp.go
+++ b/internal/server/gatewayhttp/gatewayhttp.go
@@ -65,8 +65,11 @@
 	Rows(ctx context.Context, query api.GatewayRowsQuery) (api.GatewayRows, error)
 }
 
-// PeerHandler returns the handler of the peer address: state, configuration and metrics.
-func PeerHandler(source StateSource, metrics *telemetry.Metrics) http.Handler {
+// PeerRoute adds further paths to the handler of the peer address.
+type PeerRoute func(e *echo.Echo)
+
+// PeerHandler returns the handler of the peer address: state, configuration, metrics and the further routes.
+func PeerHandler(source StateSource, metrics *telemetry.Metrics, routes ...PeerRoute) http.Handler {
 	e := newEcho()
 	encoder := newRowsEncoder()
 	compress := middleware.GzipWithConfig(middleware.GzipConfig{Level: gzip.BestSpeed, MinLength: minCompressedBytes})
@@ -100,6 +103,9 @@
 		metrics.WritePrometheus(c.Response())
 		return nil
 	})
+	for _, add := range routes {
+		add(e)
+	}
 	return e
 }
 
