--- a/internal/cli/where.go
+++ b/internal/cli/where.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"net/http"
 	"strconv"
 	"strings"
 	"time"
@@ -44,7 +45,7 @@
 	explanation, err := gatewayhttp.NewClient().Explain(ctx, c.Instance, query)
 	if err != nil {
 		fmt.Fprintln(p.errOut, "error:", err)
-		return ExitUnknown
+		return exitCodeOfExplainError(err)
 	}
 	if c.JSON {
 		p.printJSON(explanation)
@@ -58,6 +59,15 @@
 	return ExitOK
 }
 
+// exitCodeOfExplainError tells a query that the instance finds invalid from an instance that cannot be asked.
+func exitCodeOfExplainError(err error) int {
+	var refused *gatewayhttp.RefusedError
+	if errors.As(err, &refused) && (refused.Status == http.StatusBadRequest || refused.Status == http.StatusRequestEntityTooLarge) {
+		return ExitUsage
+	}
+	return ExitUnknown
+}
+
 // query checks the flags and returns the query that they describe.
 func (c *WhereCommand) query() (api.GatewayExplainQuery, error) {
 	var query api.GatewayExplainQuery
@@ -65,8 +75,6 @@
 		return query, errors.Errorf("--instance %q is not HOST:PORT", c.Instance)
 	}
 	switch {
-	case c.Host == "":
-		return query, errors.New("--host is empty")
 	case !strings.HasPrefix(c.Path, "/"):
 		return query, errors.Errorf("--path %q does not begin with a slash", c.Path)
 	case c.OutputTokens < 0:
--- a/internal/e2e/fleet_world_test.go
+++ b/internal/e2e/fleet_world_test.go
@@ -47,6 +47,7 @@
 	name             string
 	callerAddress    string
 	readinessAddress string
+	controlAddress   string
 	settingsFile     string
 	storeProxy       *proxy
 	client           *http.Client
@@ -157,13 +158,13 @@
 func (f *fleet) startInstance(name string) {
 	f.t.Helper()
 	i := &fleetInstance{
-		name: name, callerAddress: freeAddress(f.t), readinessAddress: freeAddress(f.t), storeProxy: newProxy(f.t, f.storeAddress),
+		name: name, callerAddress: freeAddress(f.t), readinessAddress: freeAddress(f.t), controlAddress: freeAddress(f.t), storeProxy: newProxy(f.t, f.storeAddress),
 		settingsFile: filepath.Join(f.dir, name+".conf"),
 		client:       &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}, Timeout: 8 * time.Second},
 	}
 	text := strings.Join([]string{
 		"NodeName=" + name, "Zone=zone-a", "ListenAddresses.Front=" + i.callerAddress, "ListenAddresses.Ready=" + i.readinessAddress,
-		"ListenAddresses.Control=" + freeAddress(f.t), "Platform.Address=" + i.storeProxy.address(), fmt.Sprintf("Bounds.GracePeriodS=%g", f.options.gracePeriod.Seconds()),
+		"ListenAddresses.Control=" + i.controlAddress, "Platform.Address=" + i.storeProxy.address(), fmt.Sprintf("Bounds.GracePeriodS=%g", f.options.gracePeriod.Seconds()),
 		fmt.Sprintf("Bounds.RetryBudgetRatio=%g", f.options.retryBudget.Ratio), fmt.Sprintf("Bounds.RetryBudgetSlack=%g", f.options.retryBudget.Slack),
 		fmt.Sprintf("Bounds.BudgetWindowS=%g", f.options.retryBudget.Window.Seconds()), "Bounds.ExposureShare=0.15",
 		"Limits.MemoryMb=284", "Something.New=1", "",
