--- a/internal/gateway/candidates.go
+++ b/internal/gateway/candidates.go
@@ -27,7 +27,7 @@
 func (r *requestJob) chooseAllowedServer(candidates []routing.Candidate, now time.Time) routing.Choice {
 	for {
 		choice := r.chooseServer(candidates, now)
-		if !choice.Found || !r.boundsColdServers() {
+		if !choice.Found || !r.boundsColdServers() || r.trace != nil {
 			return choice
 		}
 		i := slices.IndexFunc(candidates, func(c routing.Candidate) bool { return c.ID == choice.Server })
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -9,11 +9,11 @@
 	"github.com/cicadawall/cicadawall/internal/serverload"
 )
 
-// chooseFor returns the server that an attempt with the model would use now, without the tried ones.
+// chooseFor returns the server that an attempt with the model would use now, other than the tried ones. It changes no state.
 func (r *requestJob) chooseFor(model string, tried []string, now time.Time) routing.Choice {
-	chosenModel, triedServers := r.model, r.triedServers
-	defer func() { r.model, r.triedServers = chosenModel, triedServers }()
-	r.model, r.triedServers = model, tried
+	chosenModel, triedServers, trace := r.model, r.triedServers, r.trace
+	defer func() { r.model, r.triedServers, r.trace = chosenModel, triedServers, trace }()
+	r.model, r.triedServers, r.trace = model, tried, &decisionTrace{}
 	return r.chooseServer(r.candidates(r.query(), now), now)
 }
 
@@ -26,7 +26,7 @@
 // chooseServer applies the routing policy. If no server is eligible it also considers, step by step, servers that were tried
 // before, ejected servers, and servers of another version.
 func (r *requestJob) chooseServer(candidates []routing.Candidate, now time.Time) routing.Choice {
-	preference := r.gateway.Versions.Choose(r.service.Name, r.request.sessionID(), len(r.request.Prompt) == 0, now)
+	preference := r.versionPreference(now)
 	policy := r.policy(candidates, now)
 	request := routing.Request{
 		Zone: r.gateway.AvailabilityZone, Exclude: r.triedServers, RequiredSoftware: preference.Use, ExcludedSoftware: preference.Withdrawn,
@@ -36,24 +36,24 @@
 		request.ExcludedSoftware = append(slices.Clone(request.ExcludedSoftware), preference.Avoid)
 	}
 	if r.route.HasPrompt {
-		from, to := r.gateway.models.serverRange(r.service, r.model, now)
+		from, to := r.serverRange(now)
 		policy.MarkPartition(candidates, request, from, to, now)
 		backend.MarkHomeServer(candidates, r.model, r.request.Prompt)
 	}
-	choice, _ := policy.Choose(candidates, request, now, r.rng)
+	choice := r.applyPolicy(FallbackNone, policy, candidates, request, now)
 	if !choice.Found && len(r.triedServers) > 0 {
 		request.Exclude = nil
-		choice, _ = policy.Choose(candidates, request, now, r.rng)
+		choice = r.applyPolicy(FallbackTried, policy, candidates, request, now)
 	}
 	if !choice.Found {
 		for i := range candidates {
 			candidates[i].EjectedUntil = time.Time{}
 		}
-		choice, _ = policy.Choose(candidates, request, now, r.rng)
+		choice = r.applyPolicy(FallbackEjected, policy, candidates, request, now)
 	}
 	if !choice.Found && (preference.Use != "" || preference.Avoid != "") {
 		request.RequiredSoftware, request.ExcludedSoftware = "", preference.Withdrawn
-		choice, _ = policy.Choose(candidates, request, now, r.rng)
+		choice = r.applyPolicy(FallbackVersion, policy, candidates, request, now)
 	}
 	return choice
 }
--- a/internal/gateway/cold_test.go
+++ b/internal/gateway/cold_test.go
@@ -132,7 +132,8 @@
 		g := newColdGateway(&scriptedBackends{}, backend.Entry{ID: "cold", ColdDuration: testColdDuration}, backend.Entry{ID: "warm"})
 		defer g.Stop()
 		now := time.Now()
-		job, refusal := g.admit(&Request{ID: "r", Host: "h", Path: "/buy/x", Key: "key", Arrived: now}, &recordingCaller{})
+		job := newTestJob(g, &Request{ID: "r", Host: "h", Path: "/buy/x", Key: "key", Arrived: now})
+		refusal := g.admit(job)
 		if refusal != nil {
 			t.Fatal(refusal)
 		}
--- a/internal/gateway/evacuation_test.go
+++ b/internal/gateway/evacuation_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -45,7 +46,8 @@
 		g := newGateway(0, &scriptedBackends{}, discardLog)
 		defer g.Stop()
 		g.Directory.Put(backend.Entry{ID: "s", Service: "desk", AvailabilityZone: "gone", Slots: 4}, time.Now())
-		job, refusal := g.admit(&Request{ID: "r", Host: "h", Path: "/chat/x", Key: "key", Arrived: time.Now()}, &recordingCaller{})
+		job := newTestJob(g, &Request{ID: "r", Host: "h", Path: "/chat/x", Key: "key", Arrived: time.Now()})
+		refusal := g.admit(job)
 		if refusal != nil || !job.serverAccepts(time.Now()) {
 			t.Fatal("the server does not accept the request before the evacuation")
 		}
@@ -55,3 +57,8 @@
 		}
 	})
 }
+
+// newTestJob returns the job of a request with a fixed random source.
+func newTestJob(g *Gateway, request *Request) *requestJob {
+	return g.newJob(request, &recordingCaller{}, rand.New(rand.NewPCG(1, 2)))
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -13,7 +13,6 @@
 	"github.com/cicadawall/cicadawall/internal/backend"
 	"github.com/cicadawall/cicadawall/internal/crashguard"
 	"github.com/cicadawall/cicadawall/internal/fault"
-	"github.com/cicadawall/cicadawall/internal/routing"
 )
 
 const (
@@ -103,6 +102,8 @@
 	timeToFirstEvent time.Duration
 	longestPause     time.Duration
 	lastEventAt      time.Time
+	// trace, if set, records the decisions on a request that is only explained. They then change no state.
+	trace *decisionTrace
 }
 
 // queueItem returns the request's entry for the admission queue.
@@ -185,27 +186,17 @@
 // eligible.
 func (r *requestJob) startAttempt() (*backend.Attempt, bool) {
 	now := time.Now()
-	if !r.mayHaveRun() && r.endsAfterStop(now) {
+	next := r.decide(now)
+	choice := next.choice
+	switch {
+	case next.stopping:
 		r.refuse(DrainingRefusal())
 		return nil, false
-	}
-	if r.isHeld(now) || r.sentAttempts+r.unsentAttempts > 0 && !r.mayRetry(now) {
-		r.finishUnanswered()
-		return nil, false
-	}
-	query := r.query()
-	candidates := r.candidates(query, now)
-	choice := r.chooseAllowedServer(candidates, now)
-	if !choice.Found {
-		r.backoff, r.coldWait = routing.ShortestBackoff(candidates, now), routing.ShortestColdWait(candidates, now)
+	case !choice.Found:
 		r.finishUnanswered()
 		return nil, false
 	}
-	view := r.loadView(now)
-	if view != nil {
-		query.CachedTokens, query.ExpectedPrefill = choice.CachedTokens, choice.ExpectedPrefill
-	}
-	server, ok := r.gateway.Directory.Begin(choice.Server, query, now)
+	server, ok := r.gateway.Directory.Begin(choice.Server, next.query, now)
 	if !ok {
 		r.finishUnanswered()
 		return nil, false
@@ -214,10 +205,10 @@
 	r.triedServers = append(r.triedServers, choice.Server)
 	r.log("attempt started", "server", choice.Server, "version", server.Entry.Software, "model", r.model,
 		"number", r.sentAttempts+r.unsentAttempts, "configuration", r.configuration.Version,
-		"candidates", len(candidates), "eligible", choice.Eligible, "score_ms", choice.Score.Milliseconds(), "after", r.lastEventID)
-	if view != nil {
-		load := view.Servers[choice.Server]
-		r.log("load of the chosen backend server", "server", choice.Server, "view_age_ms", view.Age(now).Milliseconds(),
+		"candidates", len(next.candidates), "eligible", choice.Eligible, "score_ms", choice.Score.Milliseconds(), "after", r.lastEventID)
+	if next.view != nil {
+		load := next.view.Servers[choice.Server]
+		r.log("load of the chosen backend server", "server", choice.Server, "view_age_ms", next.view.Age(now).Milliseconds(),
 			"running", load.Running, "streaming", load.Streaming, "pending_tokens", load.PendingWork, "slowdown", load.Slowdown,
 			"cached_tokens", choice.CachedTokens, "prefill_ms", choice.ExpectedPrefill.Milliseconds())
 	}
