Keep the confidence threshold at 55 on idle servers

Cause: a threshold of up to 70 on idle servers took more of the largest model's servers than they bear. Change: the threshold only falls with the load.

--- a/internal/escalation/escalation.go
+++ b/internal/escalation/escalation.go
@@ -8,14 +8,11 @@
 	// MinConfidence is the lowest confidence at which the answer of a smaller model is accepted. At 50 a model is as
 	// likely right as wrong; the threshold is higher because a wrong answer costs more than another run.
 	MinConfidence = 55
-	// minIdleConfidence replaces MinConfidence while the servers of the largest model are nearly idle, when another run delays nobody.
-	minIdleConfidence = 70
 	// minLateConfidence replaces MinConfidence if the answer of the largest model would certainly be late. A less certain answer
 	// in time then serves the caller better than a good one too late or never, and the servers of the largest model recover.
 	minLateConfidence = 15
-	// idleRatio, onTimeRatio and lateRatio are the ratios of the expected delay of the largest model to the time left until the target at
-	// which its servers are nearly idle, its answer is probably in time, and it is certainly late.
-	idleRatio   = 0.2
+	// onTimeRatio and lateRatio are the ratios of the expected delay of the largest model to the time left until the target at which
+	// its answer is probably in time and certainly late.
 	onTimeRatio = 0.6
 	lateRatio   = 1.5
 	// urgencyStep is the part by which each step of priority scales the expected delay, so that the least urgent classes stop using the
@@ -41,12 +38,8 @@
 		return minLateConfidence
 	}
 	ratio := float64(s.ExpectedDelay) / float64(s.TimeLeft)
-	if !s.FleetLoad {
-		return between(ratio, onTimeRatio, lateRatio, MinConfidence, minLateConfidence)
-	}
-	ratio *= 1 + urgencyStep*float64(max(0, s.Priority))
-	if ratio < onTimeRatio {
-		return between(ratio, idleRatio, onTimeRatio, minIdleConfidence, MinConfidence)
+	if s.FleetLoad {
+		ratio *= 1 + urgencyStep*float64(max(0, s.Priority))
 	}
 	return between(ratio, onTimeRatio, lateRatio, MinConfidence, minLateConfidence)
 }
