Test evacuations and cold servers on real processes

Four failures on real processes: an instance that restarts while only a peer knows of an evacuation, an evacuation taken back twice, two zones one after the other, and instances that restart while a server is cold. Each test was seen to fail without the mechanism that it guards.

--- a/internal/e2e/fleet_world_test.go
+++ b/internal/e2e/fleet_world_test.go
@@ -38,7 +38,10 @@
 	*modelserver.Server
 	id      string
 	service string
-	link    *proxy
+	zone    string
+	// coldMillis is the time for which the server's row says that it is cold.
+	coldMillis int
+	link       *proxy
 }
 
 // fleetInstance is one instance on the users' platform; it reaches the store through its own proxy.
@@ -69,6 +72,10 @@
 type fleetOptions struct {
 	gracePeriod time.Duration
 	retryBudget retrycheck.Budget
+	// coldPerSecond is the rate that a cold server of the service orders sustains; zero for no bound.
+	coldPerSecond float64
+	// orderZones puts each server of the service orders into an availability zone of its own.
+	orderZones bool
 }
 
 func newFleet(t *testing.T, instances int) *fleet {
@@ -110,7 +117,10 @@
 	})
 	httpServer := httptest.NewServer(server)
 	f.t.Cleanup(httpServer.CloseClientConnections)
-	s := &fleetServer{Server: server, id: id, service: service, link: newProxy(f.t, httpServer.Listener.Addr().String())}
+	s := &fleetServer{Server: server, id: id, service: service, zone: "zone-a", link: newProxy(f.t, httpServer.Listener.Addr().String())}
+	if f.options.orderZones && service == "orders" {
+		s.zone = "zone-of-" + id
+	}
 	f.servers = append(f.servers, s)
 	f.writeServerRow(s, "ready")
 }
@@ -118,8 +128,8 @@
 // writeServerRow writes the server's row to the store, as a backend server of the users' platform does.
 func (f *fleet) writeServerRow(s *fleetServer, state string) {
 	f.store.Put("servers", s.id, f.encode(map[string]any{
-		"Service": s.service, "Address": s.link.address(), "Zone": "zone-a", "Version": "v1", "Slots": 8, "State": state,
-		"ColdRemainingMs": 0, "Sequence": 1,
+		"Service": s.service, "Address": s.link.address(), "Zone": s.zone, "Version": "v1", "Slots": 8, "State": state,
+		"ColdRemainingMs": s.coldMillis, "Sequence": 1,
 	}))
 }
 
@@ -140,7 +150,7 @@
 	f.store.Put("op", "config", f.encode(wire.Manifest{
 		Version:       f.manifestVersion,
 		Routes:        []wire.ManifestRoute{stream, order, route("look", "safe", "orders")},
-		Services:      []wire.ManifestService{{Name: "models"}, {Name: "orders"}},
+		Services:      []wire.ManifestService{{Name: "models"}, {Name: "orders", ColdStartS: 3, ColdPerS: f.options.coldPerSecond}},
 		Organisations: []wire.ManifestTenant{{Name: "arena-north", ApiKeys: keys}},
 	}))
 }
