--- a/internal/serverload/message.go
+++ b/internal/serverload/message.go
@@ -53,11 +53,6 @@
 // ErrMalformed means that a message does not have the form of the protocol.
 var ErrMalformed = errors.New("the message about loads is malformed")
 
-// dropError says why a message was dropped.
-type dropError struct{ reason string }
-
-func (e *dropError) Error() string { return "the message about loads was dropped: " + e.reason }
-
 // load is the usage of a server without evidence.
 type load struct {
 	running, streaming int
