--- a/internal/api/peer.gen.go
+++ b/internal/api/peer.gen.go
@@ -230,7 +230,7 @@
 	Id               string `json:"id" yaml:"id"`
 
 	// InFlight Requests of the asked instance at the server.
-	InFlight int `json:"inFlight,omitempty" yaml:"inFlight,omitempty"`
+	InFlight int `json:"inFlight" yaml:"inFlight"`
 
 	// Parts Parts of the score.
 	Parts []GatewayScorePart `json:"parts,omitempty" yaml:"parts,omitempty"`
@@ -333,7 +333,7 @@
 	Organisation string `json:"organisation,omitempty" yaml:"organisation,omitempty"`
 
 	// Priority Priority of the request; 0 is the most urgent.
-	Priority int `json:"priority,omitempty" yaml:"priority,omitempty"`
+	Priority int `json:"priority" yaml:"priority"`
 
 	// Queue State of the queue for workers.
 	Queue GatewayQueue `json:"queue" yaml:"queue"`
--- a/internal/cli/docs_test.go
+++ b/internal/cli/docs_test.go
@@ -208,7 +208,8 @@
 func TestPagesNameOnlyWhatExists(t *testing.T) {
 	makefile := readPage(t, "Makefile")
 	sources := readPage(t, "cmd/standin/commands.go") + readPage(t, "cmd/standin/serve.go") +
-		readPage(t, "internal/cli/config.go") + readPage(t, "internal/cli/status.go") + readPage(t, "internal/cli/serve.go")
+		readPage(t, "internal/cli/config.go") + readPage(t, "internal/cli/status.go") + readPage(t, "internal/cli/serve.go") +
+		readPage(t, "internal/cli/where.go")
 	pages, err := filepath.Glob(filepath.Join(repositoryRoot, "docs/operators/*.md"))
 	if err != nil || len(pages) < 11 {
 		t.Fatalf("%d pages, error %v", len(pages), err)
--- a/internal/cli/where.go
+++ b/internal/cli/where.go
@@ -17,7 +17,7 @@
 
 // WhereCommand is the command "where". It asks an instance on the users' platform where a request would go now.
 type WhereCommand struct {
-	Instance     string        `arg:"--instance,required" placeholder:"HOST:PORT" help:"control address of the instance (ListenAddresses.Control)"`
+	Instance     string        `arg:"--instance,required" help:"control address of the instance as HOST:PORT (ListenAddresses.Control)"`
 	Host         string        `arg:"--host,required" help:"host that the request names"`
 	Path         string        `arg:"--path,required" help:"path of the request"`
 	Key          string        `arg:"--key,env:CICADAWALL_CALLER_KEY" help:"API key of the caller; prefer the environment variable, other users can read command lines"`
--- a/internal/cli/where_print.go
+++ b/internal/cli/where_print.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"regexp"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -26,7 +27,7 @@
 func explanationRows(e api.GatewayExplanation) [][4]string {
 	var rows [][4]string
 	if e.Route != "" {
-		rows = append(rows, [4]string{"route", e.Route, "kept", fmt.Sprintf("priority %d, %s", e.Priority, describeDeadline(e.DeadlineMillis))})
+		rows = append(rows, [4]string{"route", e.Route, "kept", describeRoute(e)})
 	}
 	if e.Organisation != "" {
 		rows = append(rows, [4]string{"authenticate", e.Organisation, "kept", "owns the API key"})
@@ -60,11 +61,16 @@
 	return "kept"
 }
 
-func describeDeadline(millis int64) string {
-	if millis == 0 {
-		return "no deadline"
-	}
-	return fmt.Sprintf("deadline in %s", time.Duration(millis)*time.Millisecond)
+// describeRoute returns the priority and the deadline. The deadline is not known if the request is refused before a service is chosen.
+func describeRoute(e api.GatewayExplanation) string {
+	text := fmt.Sprintf("priority %d", e.Priority)
+	switch {
+	case e.Service == "":
+		return text
+	case e.DeadlineMillis == 0:
+		return text + ", no deadline"
+	}
+	return text + fmt.Sprintf(", deadline in %s", time.Duration(e.DeadlineMillis)*time.Millisecond)
 }
 
 func describeVersions(v api.GatewayVersionPreference) string {
@@ -92,11 +98,14 @@
 	return text
 }
 
+// wordBoundary matches the boundary between two words of a scorer's name, such as ResponseTime.
+var wordBoundary = regexp.MustCompile("([a-z])([A-Z])")
+
 // printCandidates prints the backend servers, with a column for each scorer.
 func (p printer) printCandidates(candidates []api.GatewayCandidate) {
 	var scorers []string
 	for _, part := range candidates[0].Parts {
-		scorers = append(scorers, strings.ToUpper(part.Scorer))
+		scorers = append(scorers, strings.ToUpper(wordBoundary.ReplaceAllString(part.Scorer, "$1 $2")))
 	}
 	table := tabwriter.NewWriter(p.out, 0, 0, 2, ' ', 0)
 	header := append([]string{"\nBACKEND SERVER", "AVAILABILITY ZONE", "VERSION", "VERDICT", "IN FLIGHT", "SCORE"}, scorers...)
--- a/internal/cli/where_test.go
+++ b/internal/cli/where_test.go
@@ -31,7 +31,7 @@
 		Route: "chat", Service: "models", Server: "m-1", Versions: api.GatewayVersionPreference{Use: "v2"},
 		Queue: api.GatewayQueue{Waiting: 3, RequestWaits: true},
 		Candidates: []api.GatewayCandidate{
-			{Id: "m-1", Verdict: api.CandidateChosen, ScoreMillis: 3.5, Parts: []api.GatewayScorePart{{Scorer: "Prefill", Millis: 3.5}}},
+			{Id: "m-1", Verdict: api.CandidateChosen, ScoreMillis: 3.5, Parts: []api.GatewayScorePart{{Scorer: "ResponseTime", Millis: 3.5}}},
 			{Id: "m-2", Verdict: api.CandidateDropped, Reason: "leaving"},
 		},
 	}, nil
@@ -50,7 +50,7 @@
 		code                  int
 		want                  string
 	}{
-		"chosen":            {address, "/x", "", ExitOK, "m-1 chosen lowest|models waits 3 requests|only v2|m-2 dropped: leaving|PREFILL|3.5 ms"},
+		"chosen":            {address, "/x", "", ExitOK, "m-1 chosen lowest|models waits 3 requests|only v2|m-2 dropped: leaving|RESPONSE TIME|3.5 ms"},
 		"json":              {address, "/x", "--json", ExitOK, `"verdict": "dropped"`},
 		"unknown route":     {address, "/none", "", ExitInvalid, "decode unknown_service refused no route matches; outcome not_run; retry after 1.5s|error: the request would be refused"},
 		"refused as json":   {address, "/none", "--json", ExitInvalid, `"retryAfterMillis": 1500`},
