--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -23,11 +23,11 @@
 
 // isHeld reports whether the request must not be sent to a server because it would probably crash it.
 func (r *requestJob) isHeld(now time.Time) bool {
-	check := r.gateway.Crashes.Check
-	if r.trace != nil {
-		check = r.gateway.Crashes.Preview
+	if r.trace == nil {
+		r.hold = r.gateway.Crashes.Check(r.service.Name, r.request.Prompt, r.hold.Trial, now)
+	} else {
+		r.hold = r.gateway.Crashes.Preview(r.service.Name, r.request.Prompt, r.hold.Trial, now)
 	}
-	r.hold = check(r.service.Name, r.request.Prompt, r.hold.Trial, now)
 	return r.hold.Held
 }
 
--- a/internal/gateway/models.go
+++ b/internal/gateway/models.go
@@ -154,7 +154,11 @@
 // modelRange returns the servers that a model should use, given the loads of all models of the service. It adds them up in alphabetical
 // order: the order changes the last digit of a sum, and with it the rounding to whole servers.
 func modelRange(service *Service, models map[string]*modelLoad, model string, now time.Time) (from, to float64) {
-	names := slices.Sorted(maps.Keys(models))
+	names := make([]string, 0, len(models))
+	for name := range models {
+		names = append(names, name)
+	}
+	slices.Sort(names)
 	weights := tokenWeights(service, models)
 	total := 0.0
 	for _, name := range names {
