--- a/Makefile
+++ b/Makefile
@@ -31,11 +31,13 @@
 KNOWN_RED := $(shell grep -v '^\#' KNOWN-RED.txt 2>/dev/null | awk -F' [|] ' 'NF { printf "%s^%s$$", sep, $$2; sep = "|" }')
 
 # The fault matrix runs 600 cells of complete instances in virtual time. It takes 17 s without, and over 4 minutes with, the
-# race detector and the lock-order check; so only this package runs without them.
+# race detector and the lock-order check; so only this package runs without them. The crowds of internal/flood load the machine and
+# hundreds of connections; they run by themselves, one after the other.
 test: ## Run every test with the race detector and the lock-order check, except those in KNOWN-RED.txt, which it prints.
 	@grep -v '^#' KNOWN-RED.txt 2>/dev/null | sed 's/^/known red, skipped: /' || true
-	$(GO) test -race -tags lockcheck -count=1 $(if $(KNOWN_RED),-skip '$(KNOWN_RED)') $$($(GO) list ./... | grep -v '/internal/matrix$$')
+	$(GO) test -race -tags lockcheck -count=1 $(if $(KNOWN_RED),-skip '$(KNOWN_RED)') $$($(GO) list ./... | grep -vE '/internal/(matrix|flood)$$')
 	$(GO) test -count=1 $(if $(KNOWN_RED),-skip '$(KNOWN_RED)') ./internal/matrix
+	$(GO) test -count=1 -p 1 $(if $(KNOWN_RED),-skip '$(KNOWN_RED)') ./internal/flood
 
 matrix: ## Print the fault matrix; fails if a cell fails or has neither a check nor a reason.
 	@bash -o pipefail -c "$(GO) test -count=1 -v -run 'TestMatrix$$' ./internal/matrix | grep -vE '=== (RUN|PAUSE|CONT|NAME)|--- PASS'"
--- a/internal/e2e/config_test.go
+++ b/internal/e2e/config_test.go
@@ -94,8 +94,8 @@
 	if withPeers := partitioned.sendChat(chatRequest{text: "with peers"}); !withPeers.complete {
 		t.Errorf("answer of an instance that is partitioned only from the store: %+v", withPeers)
 	}
-	c.instances[1].signal(syscall.SIGSTOP)
-	c.instances[2].signal(syscall.SIGSTOP)
+	c.instances[1].Signal(syscall.SIGSTOP)
+	c.instances[2].Signal(syscall.SIGSTOP)
 	stopped := time.Now()
 	var lastAnswer answer
 	// A response of the last peer may be in flight when that peer stops. The added second covers it and the test's own calls.
@@ -109,8 +109,8 @@
 	if lastAnswer.errorDetail.Outcome != api.OutcomeNotRun {
 		t.Errorf("the refusal does not say that the request did not run: %+v", lastAnswer)
 	}
-	c.instances[1].signal(syscall.SIGCONT)
-	c.instances[2].signal(syscall.SIGCONT)
+	c.instances[1].Signal(syscall.SIGCONT)
+	c.instances[2].Signal(syscall.SIGCONT)
 	eventually(t, 10*time.Second, "requests are served when the peers run again", func() bool { return partitioned.sendChat(chatRequest{text: "again"}).complete })
 }
 
--- a/internal/e2e/drain_test.go
+++ b/internal/e2e/drain_test.go
@@ -15,8 +15,8 @@
 func (c *cluster) drain(i *instance) {
 	c.t.Helper()
 	startedAt := time.Now()
-	i.signal(syscall.SIGTERM)
-	if status := i.waitForExit(drainTimeout); status != 0 {
+	i.Signal(syscall.SIGTERM)
+	if status := i.WaitForExit(drainTimeout); status != 0 {
 		c.t.Errorf("%s exited with status %d", i.name, status)
 	}
 	c.t.Logf("%s stopped within %s", i.name, time.Since(startedAt).Round(time.Millisecond))
--- a/internal/e2e/fleet_budget_test.go
+++ b/internal/e2e/fleet_budget_test.go
@@ -100,8 +100,8 @@
 }
 
 func (b *budgetRun) kill(instance *fleetInstance) {
-	instance.process.signal(syscall.SIGKILL)
-	<-instance.process.done
+	instance.process.Signal(syscall.SIGKILL)
+	instance.process.WaitForExit(startTimeout)
 }
 
 // end stops the callers and checks the arrivals at the servers against the retry budget.
--- a/internal/e2e/fleet_stop_test.go
+++ b/internal/e2e/fleet_stop_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/cicadawall/cicadawall/internal/processtest"
 	"github.com/cicadawall/cicadawall/internal/standin/modelserver"
 	"github.com/cicadawall/cicadawall/internal/standin/rowstore"
 )
@@ -47,9 +48,9 @@
 			}
 		}
 		eventually(t, startTimeout, "requests are answered", func() bool { return outcomes.count() > 10*stopCallers })
-		i.process.signal(syscall.SIGTERM)
-		i.process.signal(syscall.SIGTERM)
-		i.process.waitForExit(startTimeout)
+		i.process.Signal(syscall.SIGTERM)
+		i.process.Signal(syscall.SIGTERM)
+		i.process.WaitForExit(startTimeout)
 		stopped.Store(true)
 		callers.Wait()
 		for _, cut := range outcomes.cut {
@@ -82,7 +83,7 @@
 	if _, err := io.WriteString(slow, head+"bod"); err != nil {
 		t.Fatal(err)
 	}
-	i.process.signal(syscall.SIGTERM)
+	i.process.Signal(syscall.SIGTERM)
 	eventually(t, startTimeout, "the instance takes no new connections", func() bool {
 		conn, err := net.Dial("tcp4", i.callerAddress)
 		if err == nil {
@@ -102,7 +103,7 @@
 	if len(f.runsOf("slow")) > 0 {
 		t.Error("the request whose body came late was passed on")
 	}
-	i.process.waitForExit(startTimeout)
+	i.process.WaitForExit(startTimeout)
 }
 
 // callUntil sends requests of each kind in turn until stopped, on kept connections or on a new one each.
@@ -148,8 +149,8 @@
 	f := newFleet(t, 1)
 	i := f.instances[0]
 	f.store.SetFault(rowstore.FaultSilent)
-	i.process.signal(syscall.SIGKILL)
-	i.process.waitForExit(startTimeout)
+	i.process.Signal(syscall.SIGKILL)
+	i.process.WaitForExit(startTimeout)
 	f.startInstanceProcess(i)
 	eventually(t, startTimeout, "the instance listens for readiness probes", func() bool {
 		conn, err := net.Dial("tcp4", i.readinessAddress)
@@ -159,9 +160,9 @@
 		return err == nil
 	})
 	for range reloads {
-		i.process.signal(syscall.SIGHUP)
-		sleep(pollInterval / 4)
+		i.process.Signal(syscall.SIGHUP)
+		sleep(processtest.PollInterval / 4)
 	}
-	i.process.signal(syscall.SIGTERM)
-	i.process.waitForExit(startTimeout)
+	i.process.Signal(syscall.SIGTERM)
+	i.process.WaitForExit(startTimeout)
 }
--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -128,8 +128,8 @@
 	f := newFleet(t, 1)
 	i := f.instances[0]
 	f.store.SetFault(rowstore.FaultSilent)
-	i.process.signal(syscall.SIGKILL)
-	i.process.waitForExit(startTimeout)
+	i.process.Signal(syscall.SIGKILL)
+	i.process.WaitForExit(startTimeout)
 	f.startInstanceProcess(i)
 	eventually(t, startTimeout, "the instance without a manifest answers 503", func() bool {
 		return f.send(i, http.MethodGet, "/look/x", "early").status == http.StatusServiceUnavailable
@@ -154,14 +154,14 @@
 		callers.Go(func() { answers[n] = f.send(i, http.MethodPost, "/chat/x", "drain-"+string(rune('a'+n))) })
 	}
 	eventually(t, startTimeout, "the first stream is running", func() bool { return len(f.runsOf("drain-a")) > 0 })
-	i.process.signal(syscall.SIGTERM)
+	i.process.Signal(syscall.SIGTERM)
 	callers.Wait()
 	for n, got := range answers {
 		if id := "drain-" + string(rune('a'+n)); got.status == http.StatusOK && !isCompleteStream(got.body, id) {
 			t.Errorf("stream %s was interrupted: %+v", id, got)
 		}
 	}
-	if code := i.process.waitForExit(startTimeout); code != 0 {
+	if code := i.process.WaitForExit(startTimeout); code != 0 {
 		t.Errorf("the drained instance exited with status %d", code)
 	}
 }
--- a/internal/e2e/fleet_world_test.go
+++ b/internal/e2e/fleet_world_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/cicadawall/cicadawall/internal/processtest"
 	"github.com/cicadawall/cicadawall/internal/standin/modelserver"
 	"github.com/cicadawall/cicadawall/internal/standin/retrycheck"
 	"github.com/cicadawall/cicadawall/internal/standin/rowstore"
@@ -178,7 +179,7 @@
 // startInstanceProcess starts the instance's process, for the first time or after the previous process has exited.
 func (f *fleet) startInstanceProcess(i *fleetInstance) {
 	f.t.Helper()
-	i.process = startProcessWithEnv(f.t, f.dir, i.name, []string{"CICADAWALL_NODE_FILE=" + i.settingsFile}, "cicadawall", "platform")
+	i.process = processtest.Start(f.t, f.dir, i.name, []string{"CICADAWALL_NODE_FILE=" + i.settingsFile}, "cicadawall", "platform")
 }
 
 func (f *fleet) awaitReady(i *fleetInstance) {
--- a/internal/e2e/kill_test.go
+++ b/internal/e2e/kill_test.go
@@ -18,7 +18,7 @@
 	request := chatRequest{text: "settle the leg", idempotencyKey: "kill-1", seed: 7}
 	request.onChunk = func(count int) {
 		if count == 5 {
-			c.instances[0].signal(syscall.SIGKILL)
+			c.instances[0].Signal(syscall.SIGKILL)
 		}
 	}
 	interrupted := c.instances[0].sendChat(request)
@@ -48,8 +48,8 @@
 	if !answered.complete {
 		t.Fatalf("the answer before the kill is incomplete: %+v", answered)
 	}
-	c.instances[0].signal(syscall.SIGKILL)
-	c.instances[0].waitForExit(5 * time.Second)
+	c.instances[0].Signal(syscall.SIGKILL)
+	c.instances[0].WaitForExit(5 * time.Second)
 	c.setFaults(api.PlatformFaults{})
 	if len(c.bills()) != 0 {
 		t.Fatal("the store holds a bill although it refused bills, so the test cannot detect a fault")
@@ -76,7 +76,7 @@
 		for n, engine := range engines {
 			if engine.counts().Started > before[n] {
 				killed = n
-				engine.signal(syscall.SIGKILL)
+				engine.Signal(syscall.SIGKILL)
 			}
 		}
 	}})
--- a/internal/e2e/order_test.go
+++ b/internal/e2e/order_test.go
@@ -42,11 +42,11 @@
 	case <-time.After(10 * time.Second):
 		s.t.Fatal("the call that the interposer holds was not made within 10 s")
 	}
-	s.instances[0].signal(syscall.SIGSTOP)
+	s.instances[0].Signal(syscall.SIGSTOP)
 	interposed.release()
 	group.Go(func() { repeat = s.instances[1].sendOrder(s.service, key) })
 	sleep(pastClaimWindow)
-	s.instances[0].signal(syscall.SIGCONT)
+	s.instances[0].Signal(syscall.SIGCONT)
 	group.Wait()
 	return first, repeat
 }
--- a/internal/e2e/soak_test.go
+++ b/internal/e2e/soak_test.go
@@ -162,7 +162,7 @@
 		endFaultWith(func() {})
 	case 4:
 		paused := s.pause(index)
-		endFaultWith(func() { paused.signal(syscall.SIGCONT) })
+		endFaultWith(func() { paused.Signal(syscall.SIGCONT) })
 	case 5:
 		go s.restart(index, syscall.SIGKILL)
 	case 6:
@@ -212,7 +212,7 @@
 		return
 	}
 	for range times {
-		s.instances[index].process.signal(syscall.SIGHUP)
+		s.instances[index].process.Signal(syscall.SIGHUP)
 	}
 }
 
@@ -221,7 +221,7 @@
 	s.instanceLocks[index].Lock()
 	defer s.instanceLocks[index].Unlock()
 	paused := s.instances[index].process
-	paused.signal(syscall.SIGSTOP)
+	paused.Signal(syscall.SIGSTOP)
 	return paused
 }
 
@@ -232,9 +232,9 @@
 	s.instanceLocks[index].Lock()
 	defer s.instanceLocks[index].Unlock()
 	instance := s.instances[index]
-	instance.process.signal(syscall.SIGCONT)
-	instance.process.signal(signal)
-	<-instance.process.done
+	instance.process.Signal(syscall.SIGCONT)
+	instance.process.Signal(signal)
+	instance.process.WaitForExit(startTimeout)
 	s.startInstanceProcess(instance)
 }
 
--- a/internal/e2e/world_test.go
+++ b/internal/e2e/world_test.go
@@ -285,13 +285,13 @@
 
 // counts returns the engine's counters of the completions that it started and executed.
 func (b *backendServer) counts() api.EngineStandinCounts {
-	return getJSON[api.EngineStandinCounts](b.t, b.baseURL+"/standin/v1/counts")
+	return getJSON[api.EngineStandinCounts](b.T, b.baseURL+"/standin/v1/counts")
 }
 
 // executionCount returns how often the order server executed the order with the caller's idempotency key.
 func (b *backendServer) executionCount(service, key string) int {
 	total := 0
-	for _, order := range getJSON[api.OrderExecutions](b.t, b.baseURL+"/standin/v1/executions").Orders {
+	for _, order := range getJSON[api.OrderExecutions](b.T, b.baseURL+"/standin/v1/executions").Orders {
 		if order.Key == "order/guild/"+service+"/"+key {
 			total += order.Count
 		}
