--- a/internal/access/harden.go
+++ b/internal/access/harden.go
@@ -47,12 +47,12 @@
 	server.IdleTimeout = idleTimeout
 	server.MaxHeaderBytes = bounds.MaxHeaderBytes
 	server.HTTP2 = &http.HTTP2Config{MaxConcurrentStreams: maxConcurrentStreams}
-	server.Handler = limitBody(server.Handler, bounds.MaxBodyBytes, bodyTimeout)
+	server.Handler = LimitBody(server.Handler, bounds.MaxBodyBytes, bodyTimeout)
 }
 
-// limitBody bounds the size of request bodies and the time to read them. Reading beyond maxBytes returns *http.MaxBytesError
+// LimitBody bounds the size of request bodies and the time to read them. Reading beyond maxBytes returns *http.MaxBytesError
 // and closes the connection.
-func limitBody(next http.Handler, maxBytes int64, timeout time.Duration) http.Handler {
+func LimitBody(next http.Handler, maxBytes int64, timeout time.Duration) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Body != nil && r.Body != http.NoBody {
 			controller := http.NewResponseController(w)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -108,6 +108,21 @@
 	<-job.done
 }
 
+// RefuseUnroutable refuses a request, and returns true, if the configuration has no route for it or does not know its key. It does not need the
+// body of the request. Without a configuration it returns false.
+func (g *Gateway) RefuseUnroutable(request *Request, caller Caller) bool {
+	configuration := g.Configurations.Current()
+	if configuration == nil {
+		return false
+	}
+	route, _, refusal := configuration.authorize(request)
+	if refusal == nil {
+		return false
+	}
+	(&requestJob{gateway: g, request: request, caller: caller, route: route, configuration: configuration}).refuse(refusal)
+	return true
+}
+
 // admit resolves the route, organisation and service of a request. The returned job is valid even if the request is refused.
 func (g *Gateway) admit(request *Request, caller Caller) (*requestJob, *fault.Error) {
 	job := &requestJob{gateway: g, request: request, caller: caller, route: &Route{},
@@ -118,25 +133,18 @@
 			"no configuration has been loaded yet").WithRetryAfter(startupRetryAfter)
 	}
 	job.configuration = configuration
-	route := configuration.Route(request.Host, request.Path)
-	if route == nil {
-		return job, fault.NotRun(fault.StepDecode, fault.CodeUnknownService, "no route matches this host and path")
-	}
+	route, organisation, refusal := configuration.authorize(request)
 	job.route = route
-	priority := route.Priority
-	if configuration.NeedsKey(route) {
-		organisation := configuration.Organisation(request.Key)
-		if organisation == nil {
-			return job, fault.NotRun(fault.StepAuthenticate, fault.CodeUnauthenticated, "the API key is unknown")
-		}
+	if refusal != nil {
+		return job, refusal
+	}
+	job.priority = route.Priority
+	if organisation != nil {
 		job.organisation = organisation.Name
-		if organisation.Priority != nil {
-			priority = *organisation.Priority
+		if organisation.Priority != nil && configuration.NeedsKey(route) {
+			job.priority = *organisation.Priority
 		}
-	} else if organisation := configuration.Organisation(request.Key); organisation != nil {
-		job.organisation = organisation.Name
 	}
-	job.priority = priority
 	job.service = configuration.Service(pickService(route.Services, job.rng))
 	job.deadline = requestDeadline(route, request)
 	if job.isHeld(request.Arrived) {
@@ -145,6 +153,20 @@
 	return job, nil
 }
 
+// authorize returns the route of a request and the organisation that its key belongs to, which is nil if the route needs no key and the request
+// has none that is known. The route is valid even if the request is refused.
+func (c *Configuration) authorize(request *Request) (*Route, *Organisation, *fault.Error) {
+	route := c.Route(request.Host, request.Path)
+	if route == nil {
+		return &Route{}, nil, fault.NotRun(fault.StepDecode, fault.CodeUnknownService, "no route matches this host and path")
+	}
+	organisation := c.Organisation(request.Key)
+	if organisation == nil && c.NeedsKey(route) {
+		return route, nil, fault.NotRun(fault.StepAuthenticate, fault.CodeUnauthenticated, "the API key is unknown")
+	}
+	return route, organisation, nil
+}
+
 // requestDeadline returns the time by which the answer must be complete; zero if there is none.
 func requestDeadline(route *Route, request *Request) time.Time {
 	timeout := route.Timeout
--- a/internal/lockorder/order.go
+++ b/internal/lockorder/order.go
@@ -17,6 +17,7 @@
 	RankCrashes        Rank = 45
 	RankSessionPins    Rank = 50
 	RankOrders         Rank = 60
+	RankBodies         Rank = 65
 	RankLimits         Rank = 70
 	RankQueue          Rank = 80
 	RankBills          Rank = 90
