--- a/internal/buffer/bodies.go
+++ b/internal/buffer/bodies.go
@@ -170,9 +170,9 @@
 		return b.changed, nil, nil
 	}
 	now := time.Now()
-	needing := m.progress()
+	needing := m.progress(now)
 	if complete {
-		needing.Since = now
+		needing.Age = 0
 	}
 	victims := b.evict(m, needing, missing-b.evicting, now)
 	if victims == nil {
@@ -194,11 +194,11 @@
 	candidates := make([]overload.Body, len(b.receiving))
 	for i, body := range b.receiving {
 		if body != m {
-			candidates[i] = overload.Body{Held: body.held, Progress: body.progress()}
+			candidates[i] = overload.Body{Held: body.held, Progress: body.progress(now)}
 		}
 	}
 	var victims []*Body
-	for _, i := range overload.SelectBodies(candidates, needing, missing, now, b.grace) {
+	for _, i := range overload.SelectBodies(candidates, needing, missing, b.grace) {
 		victims = append(victims, b.receiving[i])
 	}
 	for _, victim := range victims {
@@ -209,8 +209,8 @@
 	return victims
 }
 
-func (m *Body) progress() overload.Progress {
-	return overload.Progress{Since: m.since, Received: m.received.Load()}
+func (m *Body) progress(now time.Time) overload.Progress {
+	return overload.Progress{Age: now.Sub(m.since), Received: m.received.Load()}
 }
 
 // interrupt ends the reading of evicted bodies.
--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -49,11 +49,11 @@
 	c.received.Store(0)
 }
 
-// state returns what the choice of a connection to close needs to know.
-func (c *Conn) state() overload.Connection {
+// state returns what the choice of a connection to close needs to know, at a time since processStart.
+func (c *Conn) state(now time.Duration) overload.Connection {
 	return overload.Connection{
 		Stage:    c.currentStage(),
-		Progress: overload.Progress{Since: processStart.Add(time.Duration(c.since.Load())), Received: c.received.Load()},
+		Progress: overload.Progress{Age: now - time.Duration(c.since.Load()), Received: c.received.Load()},
 	}
 }
 
--- a/internal/callerconn/table.go
+++ b/internal/callerconn/table.go
@@ -112,15 +112,15 @@
 
 // worst returns the connection that gives way first, other than the new one; nil if there is none. The lock must be held.
 func (t *Table) worst(added *Conn) (*Conn, overload.Connection) {
-	now := time.Now()
+	now := time.Since(processStart)
 	var worst *Conn
 	var worstState overload.Connection
 	for _, c := range t.conns {
-		state := c.state()
-		if c == added || !overload.MayGiveWay(state) {
+		state := c.state(now)
+		if c == added || !state.Stage.MayGiveWay() {
 			continue
 		}
-		if worst == nil || overload.GivesWayBefore(state, worstState, now, t.options.Grace) {
+		if worst == nil || overload.GivesWayBefore(state, worstState, t.options.Grace) {
 			worst, worstState = c, state
 		}
 	}
--- a/internal/overload/overload_test.go
+++ b/internal/overload/overload_test.go
@@ -10,10 +10,8 @@
 
 const grace = time.Second
 
-var now = time.Unix(1_000_000, 0)
-
 func progress(age time.Duration, received int64) Progress {
-	return Progress{Since: now.Add(-age), Received: received}
+	return Progress{Age: age, Received: received}
 }
 
 // Guards against a connection that is closed although another one makes less progress, and against one whose request was read completely
@@ -35,13 +33,13 @@
 	}
 	for i, a := range order {
 		for j, b := range order {
-			if got := GivesWayBefore(a, b, now, grace); got != (i < j) {
+			if got := GivesWayBefore(a, b, grace); got != (i < j) {
 				t.Errorf("%v before %v: %t", a, b, got)
 			}
 		}
 		for _, stage := range []Stage{Serving, Closed} {
 			never := Connection{stage, progress(time.Hour, 0)}
-			if MayGiveWay(never) || GivesWayBefore(never, a, now, grace) || !GivesWayBefore(a, never, now, grace) {
+			if stage.MayGiveWay() || GivesWayBefore(never, a, grace) || !GivesWayBefore(a, never, grace) {
 				t.Errorf("a connection in the stage %s would be closed", stage)
 			}
 		}
@@ -71,7 +69,7 @@
 		"itself faster":                       {progress(2*time.Second, 100_000), 3 << 10, []int{1, 0}},
 		"itself within its grace period":      {progress(900*time.Millisecond, 1), 600, []int{1}},
 	} {
-		got := SelectBodies(slices.Clone(bodies), c.needing, c.needed, now, grace)
+		got := SelectBodies(slices.Clone(bodies), c.needing, c.needed, grace)
 		if diff := cmp.Diff(c.want, got); diff != "" {
 			t.Errorf("%s: %s", name, diff)
 		}
