Bound connections and bodies of callers in cicadawall serve

serve had no bound on connections and on the memory of bodies. Its caller port now uses the same tables as the users' platform, with three new settings; the operator and peer ports bound their connections. A refusal no longer waits for the rest of the body.

--- a/internal/api/settings.gen.go
+++ b/internal/api/settings.gen.go
@@ -25,6 +25,15 @@
 
 // LimitSettings defines model for LimitSettings.
 type LimitSettings struct {
+	// BodyMemoryMB Memory of the bodies of callers' requests in megabytes; at least three times maxBodyBytes.
+	BodyMemoryMB int `json:"bodyMemoryMB,omitempty" yaml:"bodyMemoryMB,omitempty"`
+
+	// CallerConnections Number of open connections of callers; at most half of the process's descriptors.
+	CallerConnections int `json:"callerConnections,omitempty" yaml:"callerConnections,omitempty"`
+
+	// EvictionGraceMillis Time in milliseconds in which a connection or body that arrives does not give way to others.
+	EvictionGraceMillis int `json:"evictionGraceMillis,omitempty" yaml:"evictionGraceMillis,omitempty"`
+
 	// MaxBodyBytes Maximum size of a request body in bytes.
 	MaxBodyBytes int `json:"maxBodyBytes,omitempty" yaml:"maxBodyBytes,omitempty"`
 
--- a/internal/app/servers.go
+++ b/internal/app/servers.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/cicadawall/cicadawall/internal/api"
+	"github.com/cicadawall/cicadawall/internal/callerconn"
 	"github.com/cicadawall/cicadawall/internal/fault"
 	"github.com/cicadawall/cicadawall/internal/limit"
 	"github.com/cicadawall/cicadawall/internal/server/callerhttp"
@@ -42,25 +43,35 @@
 // openPorts opens the caller, operator and peer ports.
 func (i *Instance) openPorts() error {
 	caller := newEcho()
-	callerhttp.Register(caller, i.router)
-	if err := i.openPort("caller", i.settings.Listen.Caller, caller, i.tlsConfigs.caller); err != nil {
+	evictions := callerconn.NewEvictions(i.log, func(name string) { i.metrics.AddToCounter(name, 1) })
+	callerhttp.Register(caller, i.router, i.newBodies(evictions))
+	connections := i.newCallerConnections(evictions)
+	err := i.openPort("caller", i.settings.Listen.Caller, connections.BodyHandler(caller), connections, i.tlsConfigs.caller)
+	if err != nil {
 		return err
 	}
-	if err := i.openPort("operator", i.settings.Listen.Operator, i.operatorHandler(), i.tlsConfigs.operator); err != nil {
+	connections = i.newInternalConnections(maxOperatorConnections, evictions)
+	operator := connections.Handler(i.operatorHandler())
+	if err := i.openPort("operator", i.settings.Listen.Operator, operator, connections, i.tlsConfigs.operator); err != nil {
 		return err
 	}
-	return i.openPort("peer", i.settings.Listen.Peer, i.peerHandler(), i.tlsConfigs.peerServer)
+	connections = i.newInternalConnections(maxPeerConnections, evictions)
+	return i.openPort("peer", i.settings.Listen.Peer, connections.Handler(i.peerHandler()), connections, i.tlsConfigs.peerServer)
 }
 
-func (i *Instance) openPort(name, address string, handler http.Handler, tlsConfig *tls.Config) error {
+func (i *Instance) openPort(name, address string, handler http.Handler, connections *callerconn.Table, tlsConfig *tls.Config) error {
 	netListener, err := net.Listen("tcp", address)
 	if err != nil {
 		return errors.Wrapf(err, "listen on the %s port", name)
 	}
+	netListener = connections.Listener(netListener)
 	if tlsConfig != nil {
 		netListener = tls.NewListener(netListener, tlsConfig)
 	}
-	server := &http.Server{Handler: handler, ErrorLog: slog.NewLogLogger(i.log.Handler(), slog.LevelInfo)}
+	server := &http.Server{
+		Handler: handler, ConnContext: connections.ConnContext, ConnState: connections.ConnState,
+		ErrorLog: slog.NewLogLogger(i.log.Handler(), slog.LevelInfo),
+	}
 	i.harden(server)
 	i.listeners = append(i.listeners, listener{name: name, netListener: netListener, server: server})
 	return nil
--- a/internal/callerconn/table.go
+++ b/internal/callerconn/table.go
@@ -217,14 +217,3 @@
 		tracked.enter(overload.Refused)
 	}
 }
-
-// Handler returns a handler whose requests keep their connection open until they are answered, also while their bodies arrive. It is for servers
-// that bound the time of bodies.
-func (t *Table) Handler(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if !t.MarkBusy(r.Context()) || !t.MarkComplete(r.Context()) {
-			panic(http.ErrAbortHandler)
-		}
-		next.ServeHTTP(w, r)
-	})
-}
--- a/internal/server/callerhttp/callerhttp.go
+++ b/internal/server/callerhttp/callerhttp.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -16,6 +15,7 @@
 
 	"github.com/cicadawall/cicadawall/internal/access"
 	"github.com/cicadawall/cicadawall/internal/api"
+	"github.com/cicadawall/cicadawall/internal/buffer"
 	"github.com/cicadawall/cicadawall/internal/declaration"
 	"github.com/cicadawall/cicadawall/internal/dispatch"
 	"github.com/cicadawall/cicadawall/internal/fault"
@@ -32,6 +32,9 @@
 	HeaderIdempotencyKey = "Idempotency-Key"
 )
 
+// bodyMemoryRetryAfter is the Retry-After of a request whose body finds no memory: about the time in which other requests end.
+const bodyMemoryRetryAfter = 500 * time.Millisecond
+
 // classPrefix marks a value of the request's model field that names a class instead of a model.
 const classPrefix = "class:"
 
@@ -52,11 +55,12 @@
 // Handler serves the caller API.
 type Handler struct {
 	router Router
+	bodies *buffer.Bodies
 }
 
-// Register adds the caller API to an echo instance.
-func Register(e *echo.Echo, router Router) {
-	h := &Handler{router: router}
+// Register adds the caller API to an echo instance. The bodies of all requests share the memory.
+func Register(e *echo.Echo, router Router, bodies *buffer.Bodies) {
+	h := &Handler{router: router, bodies: bodies}
 	e.POST("/v1/chat/completions", h.chatCompletions)
 	e.GET("/v1/models", h.listModels)
 	e.Any("/services/:service/*", h.callService)
@@ -73,25 +77,57 @@
 func (h *Handler) authenticate(c echo.Context) (requestInfo, *fault.Error) {
 	info := requestInfo{id: uuid.NewString()}
 	c.Response().Header().Set(HeaderRequestID, info.id)
-	if problem := access.CheckHeader(c.Request().Header); problem != nil {
-		return info, problem
+	problem := access.CheckHeader(c.Request().Header)
+	if problem == nil {
+		info.organisation, problem = h.router.Authenticate(c.Request().Header.Get("Authorization"))
+	}
+	if problem != nil {
+		closeUnread(c)
 	}
-	organisation, problem := h.router.Authenticate(c.Request().Header.Get("Authorization"))
-	info.organisation = organisation
 	return info, problem
 }
 
-// readBody reads the request body and refuses one that exceeds the size limit.
-func (h *Handler) readBody(c echo.Context) ([]byte, *fault.Error) {
-	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, h.router.MaxBodyBytes()))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, fault.NotRun(fault.StepDecode, fault.CodeBodyTooLarge, "the request body is too large").WithCause(err)
+// closeUnread closes the connection after the response if the request has a body, which was not read to its end. net/http would otherwise wait for
+// the rest before it sends the response. A connection of HTTP/2 is shared with other requests and stays open.
+func closeUnread(c echo.Context) {
+	if r := c.Request(); r.ContentLength != 0 && r.ProtoMajor == 1 {
+		c.Response().Header().Set("Connection", "close")
 	}
-	if err != nil {
+}
+
+// beginBody returns the memory of the request's body, which must be released when the request has ended.
+func (h *Handler) beginBody(c echo.Context) *buffer.Body {
+	return h.bodies.Begin(interrupter{http.NewResponseController(c.Response())})
+}
+
+// interrupter ends the reading of a request's body.
+type interrupter struct{ controller *http.ResponseController }
+
+// Interrupt implements buffer.Interrupter. It fails on response writers without deadlines, such as httptest.ResponseRecorder.
+func (i interrupter) Interrupt() { _ = i.controller.SetReadDeadline(time.Unix(1, 0)) }
+
+// readBody reads the request body and refuses one that exceeds the size limit, or for which there is no memory.
+func (h *Handler) readBody(c echo.Context, body *buffer.Body) ([]byte, *fault.Error) {
+	limit := h.router.MaxBodyBytes()
+	length := c.Request().ContentLength
+	err := buffer.ErrTooLong
+	if length <= limit {
+		var data []byte
+		if data, err = body.ReadAll(c.Request().Body, length, int(limit)); err == nil {
+			return data, nil
+		}
+	}
+	closeUnread(c)
+	var overLimit *http.MaxBytesError
+	switch {
+	case errors.Is(err, buffer.ErrTooLong), errors.As(err, &overLimit):
+		return nil, fault.NotRun(fault.StepDecode, fault.CodeBodyTooLarge, "the request body is too large").WithCause(err)
+	case errors.Is(err, buffer.ErrFull), errors.Is(err, buffer.ErrEvicted):
+		return nil, fault.NotRun(fault.StepDecode, fault.CodeQueueFull, "there is no memory for the request body now").
+			WithCause(err).WithRetryAfter(bodyMemoryRetryAfter)
+	default:
 		return nil, fault.NotRun(fault.StepDecode, fault.CodeInvalidRequest, "the request body could not be read").WithCause(err)
 	}
-	return body, nil
 }
 
 func (h *Handler) chatCompletions(c echo.Context) error {
@@ -99,7 +135,9 @@
 	if problem != nil {
 		return httperr.Write(c, problem, info.id)
 	}
-	request, problem := h.decodeChat(c, info)
+	body := h.beginBody(c)
+	defer body.Release()
+	request, problem := h.decodeChat(c, info, body)
 	if problem != nil {
 		return httperr.Write(c, problem, info.id)
 	}
@@ -113,8 +151,8 @@
 	return h.writeCompletion(c, reply, request)
 }
 
-func (h *Handler) decodeChat(c echo.Context, info requestInfo) (dispatch.ModelRequest, *fault.Error) {
-	raw, problem := h.readBody(c)
+func (h *Handler) decodeChat(c echo.Context, info requestInfo, memory *buffer.Body) (dispatch.ModelRequest, *fault.Error) {
+	raw, problem := h.readBody(c, memory)
 	if problem != nil {
 		return dispatch.ModelRequest{}, problem
 	}
@@ -167,7 +205,9 @@
 	if problem != nil {
 		return httperr.Write(c, problem, info.id)
 	}
-	body, problem := h.readBody(c)
+	memory := h.beginBody(c)
+	defer memory.Release()
+	body, problem := h.readBody(c, memory)
 	if problem != nil {
 		return httperr.Write(c, problem, info.id)
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -197,6 +197,9 @@
 		{"limits.queueLength", &limits.QueueLength, 4096, 1, 1 << 20},
 		{"limits.maxBodyBytes", &limits.MaxBodyBytes, 4 << 20, 1024, 256 << 20},
 		{"limits.maxHeaderBytes", &limits.MaxHeaderBytes, 32 << 10, 1024, 1 << 20},
+		{"limits.callerConnections", &limits.CallerConnections, 8192, 16, 1 << 24},
+		{"limits.bodyMemoryMB", &limits.BodyMemoryMB, 1024, 12, 1 << 20},
+		{"limits.evictionGraceMillis", &limits.EvictionGraceMillis, 1000, 10, 60_000},
 		{"timing.configPollMillis", &timing.ConfigPollMillis, 1000, 10, 10_000},
 		{"timing.freshnessBoundMillis", &timing.FreshnessBoundMillis, 6000, 100, 60_000},
 		{"timing.digestPullMillis", &timing.DigestPullMillis, 1000, 10, 10_000},
@@ -213,6 +216,9 @@
 			c.doc.Add(s.field, fmt.Sprintf("%d is out of range; write a value from %d to %d", *s.value, s.min, s.max))
 		}
 	}
+	if limits.BodyMemoryMB<<20 < 3*limits.MaxBodyBytes {
+		c.doc.Add("limits.bodyMemoryMB", "must be at least three times limits.maxBodyBytes, or the longest body finds no memory")
+	}
 	if timing.FreshnessBoundMillis < 2*timing.ConfigPollMillis {
 		c.doc.Add("timing.freshnessBoundMillis", "must be at least twice timing.configPollMillis, or one late poll makes the instance refuse requests")
 	}
