--- a/internal/e2e/fleet_where_test.go
+++ b/internal/e2e/fleet_where_test.go
@@ -6,12 +6,12 @@
 	"net/http"
 	"os"
 	"os/exec"
-	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
 
 	"github.com/cicadawall/cicadawall/internal/api"
+	"github.com/cicadawall/cicadawall/internal/processtest"
 	"github.com/cicadawall/cicadawall/internal/standin/rowstore"
 )
 
@@ -19,7 +19,7 @@
 func (f *fleet) where(i *fleetInstance, key, path string, flags ...string) (int, string, string) {
 	f.t.Helper()
 	args := append([]string{"where", "--instance", i.controlAddress, "--host", fleetHost, "--path", path}, flags...)
-	command := exec.Command(filepath.Join(binaries, "cicadawall"), args...)
+	command := exec.Command(processtest.Binary("cicadawall"), args...)
 	var out, errOut bytes.Buffer
 	command.Stdout, command.Stderr = &out, &errOut
 	command.Env = append(os.Environ(), "CICADAWALL_CALLER_KEY="+key)
@@ -76,8 +76,8 @@
 	f := newFleet(t, 1)
 	i := f.instances[0]
 	f.store.SetFault(rowstore.FaultSilent)
-	i.process.signal(syscall.SIGKILL)
-	i.process.waitForExit(startTimeout)
+	i.process.Signal(syscall.SIGKILL)
+	i.process.WaitForExit(startTimeout)
 	if exit, _, errOut := f.where(i, fleetKey, "/chat/x"); exit != 5 || !strings.Contains(errOut, "connection refused") {
 		t.Errorf("stopped: exit status %d, errors %q", exit, errOut)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -120,6 +120,21 @@
 	<-job.done
 }
 
+// RefuseUnroutable refuses a request, and returns true, if the configuration has no route for it or does not know its key. It does not need the
+// body of the request. Without a configuration it returns false.
+func (g *Gateway) RefuseUnroutable(request *Request, caller Caller) bool {
+	configuration := g.Configurations.Current()
+	if configuration == nil {
+		return false
+	}
+	route, _, refusal := configuration.authorize(request)
+	if refusal == nil {
+		return false
+	}
+	(&requestJob{gateway: g, request: request, caller: caller, route: route, configuration: configuration}).refuse(refusal)
+	return true
+}
+
 // newJob returns the job of a request that is not yet admitted.
 func (g *Gateway) newJob(request *Request, caller Caller, rng *rand.Rand) *requestJob {
 	return &requestJob{gateway: g, request: request, caller: caller, route: &Route{}, rng: rng}
@@ -134,25 +149,18 @@
 			"no configuration has been loaded yet").WithRetryAfter(startupRetryAfter)
 	}
 	job.configuration = configuration
-	route := configuration.Route(request.Host, request.Path)
-	if route == nil {
-		return fault.NotRun(fault.StepDecode, fault.CodeUnknownService, "no route matches this host and path")
-	}
+	route, organisation, refusal := configuration.authorize(request)
 	job.route = route
-	priority := route.Priority
-	if configuration.NeedsKey(route) {
-		organisation := configuration.Organisation(request.Key)
-		if organisation == nil {
-			return fault.NotRun(fault.StepAuthenticate, fault.CodeUnauthenticated, "the API key is unknown")
-		}
+	if refusal != nil {
+		return refusal
+	}
+	job.priority = route.Priority
+	if organisation != nil {
 		job.organisation = organisation.Name
-		if organisation.Priority != nil {
-			priority = *organisation.Priority
+		if organisation.Priority != nil && configuration.NeedsKey(route) {
+			job.priority = *organisation.Priority
 		}
-	} else if organisation := configuration.Organisation(request.Key); organisation != nil {
-		job.organisation = organisation.Name
 	}
-	job.priority = priority
 	job.service = configuration.Service(pickService(route.Services, job.rng))
 	job.deadline = requestDeadline(route, request)
 	if job.isHeld(request.Arrived) {
@@ -161,6 +169,20 @@
 	return nil
 }
 
+// authorize returns the route of a request and the organisation that its key belongs to, which is nil if the route needs no key and the request
+// has none that is known. The route is valid even if the request is refused.
+func (c *Configuration) authorize(request *Request) (*Route, *Organisation, *fault.Error) {
+	route := c.Route(request.Host, request.Path)
+	if route == nil {
+		return &Route{}, nil, fault.NotRun(fault.StepDecode, fault.CodeUnknownService, "no route matches this host and path")
+	}
+	organisation := c.Organisation(request.Key)
+	if organisation == nil && c.NeedsKey(route) {
+		return route, nil, fault.NotRun(fault.StepAuthenticate, fault.CodeUnauthenticated, "the API key is unknown")
+	}
+	return route, organisation, nil
+}
+
 // requestDeadline returns the time by which the answer must be complete; zero if there is none.
 func requestDeadline(route *Route, request *Request) time.Time {
 	timeout := route.Timeout
