--- a/internal/api/declaration.gen.go
+++ b/internal/api/declaration.gen.go
@@ -107,10 +107,13 @@
 
 // Declaration Document that operators keep in version control and apply. It contains no model weights and no addresses.
 type Declaration struct {
-	Classes       []Class        `json:"classes" yaml:"classes"`
-	Models        []Model        `json:"models" yaml:"models"`
-	Organisations []Organisation `json:"organisations" yaml:"organisations"`
-	Services      []PlainService `json:"services,omitempty" yaml:"services,omitempty"`
+	Classes []Class `json:"classes" yaml:"classes"`
+
+	// EvacuatedAvailabilityZones Availability zones whose backend servers get no requests.
+	EvacuatedAvailabilityZones []string       `json:"evacuatedAvailabilityZones,omitempty" yaml:"evacuatedAvailabilityZones,omitempty"`
+	Models                     []Model        `json:"models" yaml:"models"`
+	Organisations              []Organisation `json:"organisations" yaml:"organisations"`
+	Services                   []PlainService `json:"services,omitempty" yaml:"services,omitempty"`
 }
 
 // Model defines model for Model.
--- a/internal/api/operator.gen.go
+++ b/internal/api/operator.gen.go
@@ -87,8 +87,10 @@
 	InFlight         int    `json:"inFlight" yaml:"inFlight"`
 
 	// ReportAgeMillis Age of the last load report in milliseconds.
-	ReportAgeMillis int64  `json:"reportAgeMillis,omitempty" yaml:"reportAgeMillis,omitempty"`
-	State           string `json:"state" yaml:"state"`
+	ReportAgeMillis int64 `json:"reportAgeMillis,omitempty" yaml:"reportAgeMillis,omitempty"`
+
+	// State live, leaving, evacuated (the declaration evacuates its availability zone) or ejected.
+	State string `json:"state" yaml:"state"`
 }
 
 // ClassStatus defines model for ClassStatus.
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -157,11 +157,12 @@
 	i.orders = order.New(order.Config{
 		Table:       i.services.Table,
 		Dispatcher:  services,
-		Servers:     &dispatch.PlainServers{Servers: i.servers, AvailabilityZone: i.settings.Instance.AvailabilityZone},
+		Servers:     &dispatch.PlainServers{Config: i.config, Servers: i.servers, AvailabilityZone: i.settings.Instance.AvailabilityZone},
 		Incarnation: i.incarnation,
 	})
 	i.placement = i.newPlacementRunner(client)
 	i.queue = admission.NewQueue(i.settings.Limits.QueueLength)
+	i.metrics.RegisterGauge("cicadawall_evacuated_zones", func() float64 { return float64(i.config.Snapshot().EvacuatedZones()) })
 	i.router = dispatch.NewRouter(dispatch.Dependencies{
 		AvailabilityZone: i.settings.Instance.AvailabilityZone,
 		Incarnation:      i.incarnation,
--- a/internal/configsync/syncer.go
+++ b/internal/configsync/syncer.go
@@ -191,7 +191,8 @@
 	}
 	s.revisions.setInForce(doc)
 	if s.opts.Config.Install(declaration.Compile(doc.Revision, decl)) {
-		s.opts.Log.Info("configuration in force", "revision", doc.Revision, "change_id", doc.Record.ChangeID, "author", doc.Record.Author)
+		s.opts.Log.Info("configuration in force", "revision", doc.Revision, "change_id", doc.Record.ChangeID, "author", doc.Record.Author,
+			"evacuated_zones", decl.EvacuatedAvailabilityZones)
 	}
 	s.opts.Peers.SetOwnRevision(s.opts.Config.Revision())
 	return nil
--- a/internal/declaration/diff.go
+++ b/internal/declaration/diff.go
@@ -88,6 +88,9 @@
 	for _, org := range decl.Organisations {
 		out.setOrganisation("organisation "+org.Name, org)
 	}
+	for _, zone := range decl.EvacuatedAvailabilityZones {
+		out.set("availability zone "+zone, "evacuated")
+	}
 	return out
 }
 
--- a/internal/declaration/parse_test.go
+++ b/internal/declaration/parse_test.go
@@ -74,6 +74,9 @@
 		{"cost out of reach", "costPer1000: 30", "costPer1000: 0.2", 9, "classes[0].target.costPer1000", "cannot be met"},
 		{"bad syntax", "priority: 5", "priority: [5", 9, "(document)", "not valid YAML"},
 		{"anchor", "priority: 5", "priority: &p 5", 8, "classes[0].priority", "not supported"},
+		{"empty zone", "services: [orders]\n", "services: [orders]\nevacuatedAvailabilityZones: [a, \"\"]\n", 20, "evacuatedAvailabilityZones[1]", "without spaces"},
+		{"zone twice", "services: [orders]\n", "services: [orders]\nevacuatedAvailabilityZones: [a, b, a]\n", 20, "evacuatedAvailabilityZones[2]", "listed twice"},
+		{"zone as number", "services: [orders]\n", "services: [orders]\nevacuatedAvailabilityZones: [1]\n", 20, "evacuatedAvailabilityZones[0]", "quotes"},
 		{"path", "path: /print", "path: print", 13, "services[0].calls[0].path", "start with /"},
 	}
 	for _, c := range cases {
--- a/internal/declaration/snapshot.go
+++ b/internal/declaration/snapshot.go
@@ -133,6 +133,19 @@
 	return service, ok
 }
 
+// Evacuated reports whether the backend servers of the availability zone must get no requests. A nil snapshot evacuates none.
+func (s *Snapshot) Evacuated(zone string) bool {
+	return s != nil && contains(s.Document.EvacuatedAvailabilityZones, zone)
+}
+
+// EvacuatedZones returns the number of evacuated availability zones. A nil snapshot evacuates none.
+func (s *Snapshot) EvacuatedZones() int {
+	if s == nil {
+		return 0
+	}
+	return len(s.Document.EvacuatedAvailabilityZones)
+}
+
 // Usable reports whether the state of the version permits new requests.
 func (s *Snapshot) Usable(id VersionID) bool {
 	version, ok := s.versions[id]
--- a/internal/declaration/validate.go
+++ b/internal/declaration/validate.go
@@ -54,6 +54,19 @@
 	for i := range v.decl.Organisations {
 		v.checkOrganisation(fmt.Sprintf("organisations[%d]", i), &v.decl.Organisations[i], names)
 	}
+	zones := map[string]bool{}
+	for i, zone := range v.decl.EvacuatedAvailabilityZones {
+		v.checkZone(fmt.Sprintf("evacuatedAvailabilityZones[%d]", i), zone, zones)
+	}
+}
+
+// checkZone checks the name of an availability zone. Settings and backend servers may use any name, so that only an empty one is certainly
+// wrong.
+func (v *validator) checkZone(field, zone string, seen map[string]bool) {
+	if strings.TrimSpace(zone) == "" || strings.TrimSpace(zone) != zone {
+		v.doc.Add(field, fmt.Sprintf("%q is not a valid name; write an availability zone without spaces around it", zone))
+	}
+	v.checkListedOnce(field, zone, seen)
 }
 
 // checkName checks that the name is valid and not yet in seen, and adds it to seen.
--- a/internal/dispatch/explain.go
+++ b/internal/dispatch/explain.go
@@ -156,11 +156,7 @@
 }
 
 func (r *Router) explainServers(id declaration.VersionID, random *rand.Rand) []api.ExplainStep {
-	rows := r.Servers.Select(isEngine)
-	candidates := make([]routing.Candidate, 0, len(rows))
-	for i := range rows {
-		candidates = append(candidates, newCandidate(&rows[i]))
-	}
+	_, candidates := r.engineCandidates()
 	choice, verdicts := routing.Choose(candidates, routing.Request{Version: id, Zone: r.AvailabilityZone}, time.Now(), random)
 	var steps []api.ExplainStep
 	for _, verdict := range verdicts {
--- a/internal/dispatch/plain.go
+++ b/internal/dispatch/plain.go
@@ -176,7 +176,7 @@
 // executeRepeatable makes attempts until one succeeds or no retry is allowed.
 func (j *plainJob) executeRepeatable(ctx context.Context) (*PlainResponse, *fault.Error) {
 	j.router.Retries.Budgets.CountRequest(plainClass, time.Now())
-	servers := PlainServers{Servers: j.router.Servers, AvailabilityZone: j.router.AvailabilityZone}
+	servers := PlainServers{Config: j.router.Config, Servers: j.router.Servers, AvailabilityZone: j.router.AvailabilityZone}
 	var triedServers []string
 	for attemptNumber := 1; ; attemptNumber++ {
 		server, problem := servers.Choose(j.request.Service, triedServers)
--- a/internal/dispatch/servers.go
+++ b/internal/dispatch/servers.go
@@ -34,11 +34,7 @@
 
 // chooseServer chooses the backend server for one attempt on a version.
 func (r *Router) chooseServer(id declaration.VersionID, messages []api.ChatMessage, triedServers []string, random *rand.Rand) (table.Server, *fault.Error) {
-	rows := r.Servers.Select(isEngine)
-	candidates := make([]routing.Candidate, 0, len(rows))
-	for i := range rows {
-		candidates = append(candidates, newCandidate(&rows[i]))
-	}
+	rows, candidates := r.engineCandidates()
 	prefixBlocks := prefix.Blocks(id, prefix.Render(messages))
 	r.Prefixes.MarkCachedBlocks(candidates, prefixBlocks)
 	now := time.Now()
@@ -63,16 +59,28 @@
 	return table.Server{}, fault.NotRun(fault.StepChoose, fault.CodeNoBackendServer, "the chosen backend server is no longer listed")
 }
 
+// engineCandidates returns the engines and their states in the same order.
+func (r *Router) engineCandidates() ([]table.Server, []routing.Candidate) {
+	snapshot := r.Config.Snapshot()
+	rows := r.Servers.Select(isEngine)
+	candidates := make([]routing.Candidate, 0, len(rows))
+	for i := range rows {
+		candidates = append(candidates, newCandidate(&rows[i], snapshot))
+	}
+	return rows, candidates
+}
+
 // exclusionTime is longer than any choice takes; a candidate whose ejection ends that late is excluded from the choice.
 const exclusionTime = time.Hour
 
 // excludeEjected excludes the ejected candidates from the choice and returns how each server may be used. At most half of the
-// pool is excluded; the pool is the servers that have the version loaded and are not leaving.
+// pool is excluded; the pool is the servers that have the version loaded, are not leaving and not in an
+// evacuated zone.
 func (r *Router) excludeEjected(candidates []routing.Candidate, id declaration.VersionID, now time.Time) map[string]retry.Use {
 	var pool []string
 	for i := range candidates {
 		candidates[i].EjectedUntil = time.Time{}
-		if !candidates[i].Leaving && slices.Contains(candidates[i].Versions, id) {
+		if !candidates[i].Leaving && !candidates[i].Evacuated && slices.Contains(candidates[i].Versions, id) {
 			pool = append(pool, candidates[i].ID)
 		}
 	}
@@ -108,12 +116,13 @@
 	return "", false
 }
 
-// newCandidate returns the state of a backend server that the routing decision depends on.
-func newCandidate(row *table.Server) routing.Candidate {
+// newCandidate returns the state of a backend server that the routing decision depends on. The snapshot is nil before the first configuration.
+func newCandidate(row *table.Server, snapshot *declaration.Snapshot) routing.Candidate {
 	candidate := routing.Candidate{
 		ID:              row.Entry.Id,
 		Zone:            row.Entry.AvailabilityZone,
 		Leaving:         row.Leaving,
+		Evacuated:       snapshot.Evacuated(row.Entry.AvailabilityZone),
 		EjectedUntil:    row.EjectedUntil,
 		InFlight:        row.InFlight,
 		SentSinceReport: row.SentSinceReport,
@@ -132,6 +141,7 @@
 
 // PlainServers chooses backend servers of plain services.
 type PlainServers struct {
+	Config           *table.Config
 	Servers          *table.Servers
 	AvailabilityZone string
 }
@@ -139,9 +149,9 @@
 // Choose returns the backend server of the service with the fewest requests in flight; among equals it prefers the instance's
 // own availability zone. Servers that were tried or are ejected are used only if there is no other.
 func (p *PlainServers) Choose(service string, triedServers []string) (table.Server, *fault.Error) {
-	now := time.Now()
+	now, snapshot := time.Now(), p.Config.Snapshot()
 	rows := p.Servers.Select(func(row *table.Server) bool {
-		return row.Entry.Kind == api.KindService && row.Entry.Service == service && !row.Leaving
+		return row.Entry.Kind == api.KindService && row.Entry.Service == service && !row.Leaving && !snapshot.Evacuated(row.Entry.AvailabilityZone)
 	})
 	bestIndex := -1
 	for i := range rows {
@@ -190,8 +200,9 @@
 	return order.Server{ID: row.Entry.Id, ChecksFencing: row.Entry.ChecksFencing}, nil
 }
 
-// Server implements order.ServerPicker.
+// Server implements order.ServerPicker. A server of an evacuated availability zone must not get an order again.
 func (p *PlainServers) Server(id string) (order.Server, bool) {
 	row, ok := p.Servers.Get(id)
+	ok = ok && !p.Config.Snapshot().Evacuated(row.Entry.AvailabilityZone)
 	return order.Server{ID: row.Entry.Id, ChecksFencing: row.Entry.ChecksFencing}, ok
 }
--- a/internal/status/collect.go
+++ b/internal/status/collect.go
@@ -31,7 +31,7 @@
 		Revision:         s.Config.Revision(),
 		Draining:         s.Draining(),
 		Classes:          []api.ClassStatus{},
-		BackendServers:   backendServers(s.Servers, now),
+		BackendServers:   backendServers(s.Servers, s.Config.Snapshot(), now),
 	}
 	_, problem := s.Config.SnapshotIfEligible(now)
 	response.ConfigurationFresh = problem == nil
@@ -116,7 +116,7 @@
 
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
-func backendServers(servers *table.Servers, now time.Time) []api.BackendServerStatus {
+func backendServers(servers *table.Servers, snapshot *declaration.Snapshot, now time.Time) []api.BackendServerStatus {
 	out := []api.BackendServerStatus{}
 	for _, row := range servers.Select(func(*table.Server) bool { return true }) {
 		status := api.BackendServerStatus{
@@ -128,6 +128,8 @@
 		switch {
 		case row.Leaving:
 			status.State = "leaving"
+		case snapshot.Evacuated(row.Entry.AvailabilityZone):
+			status.State = "evacuated"
 		case now.Before(row.EjectedUntil):
 			status.State = "ejected"
 		}
