--- a/internal/e2e/fleet_where_test.go
+++ b/internal/e2e/fleet_where_test.go
@@ -66,7 +66,7 @@
 			t.Errorf("%s: exit status %d, output %q, errors %q", code, exit, out, errOut)
 		}
 	}
-	if log, err := os.ReadFile(i.process.logFile); err != nil || strings.Contains(string(log), fleetKey) || !strings.Contains(string(log), `"attempt started"`) {
+	if log, err := os.ReadFile(i.process.LogFile); err != nil || strings.Contains(string(log), fleetKey) || !strings.Contains(string(log), `"attempt started"`) {
 		t.Errorf("the log has the key or no attempt, error %v", err)
 	}
 }
