Withdraw reports of loads only after a report to another relay succeeded

Cause: an instance that tried a dead relay again withdrew its report from the relay that worked, and missed in all views for a round. Change: it remembers the relays that may have a report and withdraws from them once another one has answered. Result: the test of a relay whose death is not noticed by the topology passes; tests of refused sums and bounds of the ledger are added.

--- a/internal/serverload/fleet_test.go
+++ b/internal/serverload/fleet_test.go
@@ -24,6 +24,8 @@
 	nodes []*node
 	// cut is a zone that no message enters or leaves.
 	cut string
+	// deathsUnnoticed keeps dead instances in the topology.
+	deathsUnnoticed bool
 	// withdrawalsLost drops the empty reports.
 	withdrawalsLost bool
 	// dropped counts messages by reason.
@@ -63,11 +65,11 @@
 	}
 }
 
-// relays returns the addresses of the relays of a zone as the exchange chooses them: the last two instances that live.
+// relays returns the addresses of the relays of a zone as the exchange chooses them: the last two instances that live, as far as is known.
 func (f *fleet) relays(zone string) []string {
 	var addresses []string
 	for _, n := range slices.Backward(f.nodes) {
-		if n.zone == zone && !n.dead && len(addresses) < 2 {
+		if n.zone == zone && (!n.dead || n.fleet.deathsUnnoticed) && len(addresses) < 2 {
 			addresses = append(addresses, n.address)
 		}
 	}
@@ -183,6 +185,12 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, zones, perZone)
+		for _, n := range f.nodes {
+			if n.topology().Relay {
+				// A relay refuses reports before its first round, and its reporters would then avoid it for 3 s.
+				n.table.putOwn(nil)
+			}
+		}
 		f.run(5*Interval, func() {})
 		f.checkExact(everything)
 		test(f)
--- a/internal/serverload/round.go
+++ b/internal/serverload/round.go
@@ -31,7 +31,7 @@
 		t.withdraw(ctx, "")
 		return nil
 	}
-	t.withdraw(ctx, t.reportRound(ctx, items, topology.Relays))
+	t.reportRound(ctx, items, topology.Relays)
 	return nil
 }
 
@@ -47,26 +47,32 @@
 	t.ledger = nil
 }
 
-// reportRound sends a report to the first usable relay, publishes the view that it answers with, and returns its address. Evidence in a
-// report that fails is lost: the relay may have taken it, and a second report would count it twice.
-func (t *Table) reportRound(ctx context.Context, items []item, relays []string) string {
+// reportRound sends a report to the first usable relay and publishes the view that it answers with. Evidence in a report that fails is
+// lost: the relay may have taken it, and a second report would count it twice.
+func (t *Table) reportRound(ctx context.Context, items []item, relays []string) {
 	t.stopRelaying()
 	t.forgetLists(relays)
 	sent := time.Now()
 	address, sequence := t.chooseRelay(relays, t.clock(sent))
 	if address == "" {
-		return ""
+		return
 	}
 	loads, err := t.call(ctx, address, api.GatewayLoadsQuery{
 		Incarnation: t.incarnation, Sequence: sequence, Usage: encodeReport(items),
 	})
 	t.recordResult("report loads", address, err)
 	if err != nil {
-		t.avoid(address)
-		return address
+		t.recordFailedReport(address, err)
+		return
 	}
+	t.publishAnswer(address, loads, sent)
+	t.withdraw(ctx, address)
+}
+
+// publishAnswer publishes the view of an answer to a report that was sent at a time.
+func (t *Table) publishAnswer(address string, loads api.GatewayLoads, sent time.Time) {
 	if loads.Partial {
-		return address
+		return
 	}
 	var servers map[string]Server
 	reason := t.restoreList(address, &loads)
@@ -75,22 +81,37 @@
 	}
 	if reason != "" {
 		t.CountDropped(reason)
-		return address
+		return
 	}
 	t.keepList(address, loads)
 	t.publish(servers, sent.Add(-time.Duration(loads.AgeMillis)*time.Millisecond))
-	return address
 }
 
-// withdraw replaces the last report at a relay that this instance no longer reports to by an empty one, so that it does not count twice
-// until the last report expires there. A relay that does not answer is not asked again.
+// recordFailedReport excludes a relay for relayRetryDelay. It may have taken the report, unless it refused.
+func (t *Table) recordFailedReport(address string, err error) {
+	now := t.clock(time.Now())
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.avoidUntil[address] = now.Add(relayRetryDelay)
+	if !errors.Is(err, ErrNotRelay) && !slices.Contains(t.reportedTo, address) && len(t.reportedTo) < maxWithdrawals {
+		t.reportedTo = append(t.reportedTo, address)
+	}
+}
+
+// withdraw replaces the reports at relays other than the current one by empty ones, so that this instance does not count twice until its
+// report expires there. A relay that does not answer is not asked again.
 func (t *Table) withdraw(ctx context.Context, current string) {
 	t.mu.Lock()
 	former, sequence := t.reportedTo, t.sequence
-	t.reportedTo = current
+	t.reportedTo = nil
+	if current != "" {
+		t.reportedTo = []string{current}
+	}
 	t.mu.Unlock()
-	if former != "" && former != current {
-		_, _ = t.call(ctx, former, api.GatewayLoadsQuery{Incarnation: t.incarnation, Sequence: sequence})
+	for _, address := range former {
+		if address != current {
+			_, _ = t.call(ctx, address, api.GatewayLoadsQuery{Incarnation: t.incarnation, Sequence: sequence})
+		}
 	}
 }
 
@@ -120,14 +141,6 @@
 	return oldest, t.sequence
 }
 
-// avoid excludes a relay for relayRetryDelay.
-func (t *Table) avoid(address string) {
-	now := t.clock(time.Now())
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.avoidUntil[address] = now.Add(relayRetryDelay)
-}
-
 // call sends one message.
 func (t *Table) call(ctx context.Context, address string, query api.GatewayLoadsQuery) (api.GatewayLoads, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/internal/serverload/serverload.go
+++ b/internal/serverload/serverload.go
@@ -35,6 +35,8 @@
 	relayExpiry = time.Second
 	// relayRetryDelay is how long a relay is not used after a failed report.
 	relayRetryDelay = 3 * time.Second
+	// maxWithdrawals bounds the relays that are asked to forget a report; the others forget it when it expires.
+	maxWithdrawals = 4
 	// evidenceRounds is the number of rounds between two pulls of the evidence about the speed of servers, which changes slowly.
 	evidenceRounds = 10
 )
@@ -113,8 +115,8 @@
 	// ledger is nil while this instance is not a relay.
 	ledger   *ledger
 	sequence int64
-	// reportedTo is the relay of the last report, or empty.
-	reportedTo string
+	// reportedTo holds the relays that may have a report of this instance.
+	reportedTo []string
 	// relaySince and lastRound are when this instance became a relay and when it last ran a round as one.
 	relaySince, lastRound time.Time
 	// avoidUntil holds when each relay to which a report failed may be used again.
--- a/internal/serverload/serverload_test.go
+++ b/internal/serverload/serverload_test.go
@@ -35,12 +35,15 @@
 // Guards against views that expire, and loads that stay, when a relay dies or a part of a zone is added, also at the same time.
 func TestFleetChanges(t *testing.T) {
 	inFleet(t, 3, 8, func(f *fleet) {
-		f.nodes[len(f.nodes)-1].dead = true
+		f.nodes[len(f.nodes)-1].dead, f.deathsUnnoticed = true, true
+		f.run(3*time.Second, f.checkViews)
+		f.checkExact(everything)
+		f.deathsUnnoticed = false
 		f.run(3*time.Second, f.checkViews)
 		f.checkExact(everything)
 		f.add(24)
 		f.run(3*Interval, func() {})
-		f.run(3*time.Second, f.checkViews)
+		f.run(relayRetryDelay+4*Interval, f.checkViews)
 		f.checkExact(everything)
 	})
 }
@@ -76,7 +79,8 @@
 	})
 }
 
-// Guards against choices by a view that is too old, also after the machine was suspended, and against messages while loads are not shared.
+// Guards against choices by a view that is too old, also after the machine was suspended, against sums of relays that were suspended or
+// refuse, and against messages while loads are not shared.
 func TestViewExpires(t *testing.T) {
 	inFleet(t, 1, 3, func(f *fleet) {
 		table := f.nodes[0].table
@@ -91,6 +95,16 @@
 		if table.View(time.Now()) != nil {
 			t.Error("an old view is used")
 		}
+		f.run(4*Interval, func() {})
+		f.nodes[2].table.Suspended = func() time.Duration { return relayExpiry }
+		if _, err := f.nodes[2].table.Answer(api.GatewayLoadsQuery{Sums: true}); !errors.Is(err, ErrNotRelay) {
+			t.Errorf("a relay that was suspended answers: %v", err)
+		}
+		f.nodes[2].table.Enabled = func() bool { return false }
+		f.run(Interval, func() {})
+		if view := f.nodes[1].table.View(time.Now()); len(view.Servers) > 0 {
+			t.Errorf("the sums of a relay that refuses count: %v", view.Servers)
+		}
 		for _, n := range f.nodes {
 			n.table.Enabled, n.table.Transport = func() bool { return false }, nil
 		}
@@ -205,6 +219,26 @@
 	}
 }
 
+// Guards against memory that grows with wrong identifiers of servers and instances, and against a message that is dropped as a whole for
+// one server too many.
+func TestLedgerIsBounded(t *testing.T) {
+	now := time.Now()
+	l := newLedger(now)
+	var items []item
+	for n := range maxViewServers + 2 {
+		items = append(items, item{id: fmt.Sprintf("server-%04d", n), load: load{running: 1}})
+	}
+	if omitted := l.putSums("relay", now, items, true, now); omitted != 2 || len(l.servers("")) != maxViewServers {
+		t.Errorf("%d servers are left out, %d are known", omitted, len(l.servers("")))
+	}
+	for n := range maxReporters {
+		l.putReport(fmt.Sprint(n), 1, nil, now)
+	}
+	if reason, _ := l.putReport("one more", 1, nil, now); reason != dropManyReporter {
+		t.Errorf("the report of one more instance is dropped as %q", reason)
+	}
+}
+
 // Guards against a slow server that no one learns of, a shared error of the expected times that makes servers look slow, and speeds that
 // are never forgotten.
 func TestSlowServerIsLearned(t *testing.T) {
