--- a/internal/evacuation/table.go
+++ b/internal/evacuation/table.go
@@ -32,11 +32,13 @@
 	readThrough int64
 	// known is set once this instance has read all evacuations, and endsKnown once it also knows those that ended before its start.
 	known, endsKnown bool
+	// recorded holds the zones of which the store records that they were evacuated.
+	recorded map[string]bool
 }
 
 // NewTable returns a table without records.
 func NewTable(options Options) *Table {
-	return &Table{Options: options, mu: lockorder.NewRW(lockorder.RankEvacuations), records: map[string]Record{}}
+	return &Table{Options: options, mu: lockorder.NewRW(lockorder.RankEvacuations), records: map[string]Record{}, recorded: map[string]bool{}}
 }
 
 // Begin records that the store holds the evacuation of the zone in a row of the given revision.
@@ -86,6 +88,33 @@
 	t.endsKnown = t.endsKnown || endsKnown
 }
 
+// MarkEndsKnown records that no evacuation can have ended shortly before the start of this process.
+func (t *Table) MarkEndsKnown() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.endsKnown = true
+}
+
+// MarkRecorded records that the store says that the zone was evacuated once.
+func (t *Table) MarkRecorded(zone string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.recorded[zone] = true
+}
+
+// Unrecorded returns the evacuated zones of which this is not known.
+func (t *Table) Unrecorded() []string {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	var zones []string
+	for zone, record := range t.records {
+		if record.Active && !t.recorded[zone] {
+			zones = append(zones, zone)
+		}
+	}
+	return zones
+}
+
 // Known reports whether this instance knows all evacuations.
 func (t *Table) Known() bool {
 	t.mu.RLock()
