--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -9,12 +9,14 @@
 	"github.com/cicadawall/cicadawall/internal/serverload"
 )
 
-// chooseFor returns the server that an attempt with the model would use now, other than the tried ones. It changes no state.
-func (r *requestJob) chooseFor(model string, tried []string, now time.Time) routing.Choice {
+// previewModel returns the server that an attempt with the model would use now, and the share of the servers' slots in use. It changes no state.
+func (r *requestJob) previewModel(model string, now time.Time) (routing.Choice, float64) {
 	chosenModel, triedServers, trace := r.model, r.triedServers, r.trace
 	defer func() { r.model, r.triedServers, r.trace = chosenModel, triedServers, trace }()
-	r.model, r.triedServers, r.trace = model, tried, &decisionTrace{}
-	return r.chooseServer(r.candidates(r.query(), now), now)
+	r.model, r.triedServers, r.trace = model, nil, &decisionTrace{}
+	candidates := r.candidates(r.query(), now)
+	choice := r.chooseServer(candidates, now)
+	return choice, routing.Occupancy(candidates)
 }
 
 // query describes an attempt with the current model.
