--- a/internal/escalation/escalation.go
+++ b/internal/escalation/escalation.go
@@ -8,10 +8,6 @@
 	// MinConfidence is the lowest confidence at which the answer of a smaller model is accepted. At 50 a model is as
 	// likely right as wrong; the threshold is higher because a wrong answer costs more than another run.
 	MinConfidence = 55
-	// minIdleConfidence replaces MinConfidence while the batches of the servers are nearly empty, when another run delays nobody.
-	minIdleConfidence = 70
-	// idleOccupancy and busyOccupancy are the shares of the slots in use up to which, and from which on, this holds fully and not at all.
-	idleOccupancy, busyOccupancy = 0.2, 0.4
 	// minLateConfidence replaces MinConfidence if the answer of the largest model would certainly be late. A less certain answer
 	// in time then serves the caller better than a good one too late or never, and the servers of the largest model recover.
 	minLateConfidence = 15
@@ -32,8 +28,6 @@
 	TimeLeft time.Duration
 	// FleetLoad is set if ExpectedDelay is an estimate from the present load of the servers, rather than an average of earlier delays.
 	FleetLoad bool
-	// Occupancy is the share of the servers' slots in use, if FleetLoad is set.
-	Occupancy float64
 	// Priority is the priority of the request; 0 is the most urgent.
 	Priority int
 }
@@ -44,12 +38,10 @@
 		return minLateConfidence
 	}
 	ratio := float64(s.ExpectedDelay) / float64(s.TimeLeft)
-	inTime := MinConfidence
 	if s.FleetLoad {
 		ratio *= 1 + urgencyStep*float64(max(0, s.Priority))
-		inTime = between(s.Occupancy, idleOccupancy, busyOccupancy, minIdleConfidence, MinConfidence)
 	}
-	return between(ratio, onTimeRatio, lateRatio, inTime, minLateConfidence)
+	return between(ratio, onTimeRatio, lateRatio, MinConfidence, minLateConfidence)
 }
 
 // between interpolates linearly from the value at low to the value at high, and is constant outside of the range.
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -9,14 +9,12 @@
 	"github.com/cicadawall/cicadawall/internal/serverload"
 )
 
-// previewModel returns the server that an attempt with the model would use now, and the share of the servers' slots in use. It changes no state.
-func (r *requestJob) previewModel(model string, now time.Time) (routing.Choice, float64) {
+// chooseFor returns the server that an attempt with the model would use now, other than the tried ones. It changes no state.
+func (r *requestJob) chooseFor(model string, tried []string, now time.Time) routing.Choice {
 	chosenModel, triedServers, trace := r.model, r.triedServers, r.trace
 	defer func() { r.model, r.triedServers, r.trace = chosenModel, triedServers, trace }()
-	r.model, r.triedServers, r.trace = model, nil, &decisionTrace{}
-	candidates := r.candidates(r.query(), now)
-	choice := r.chooseServer(candidates, now)
-	return choice, routing.Occupancy(candidates)
+	r.model, r.triedServers, r.trace = model, tried, &decisionTrace{}
+	return r.chooseServer(r.candidates(r.query(), now), now)
 }
 
 // query describes an attempt with the current model.
--- a/internal/routing/fleet.go
+++ b/internal/routing/fleet.go
@@ -70,16 +70,6 @@
 	return time.Duration(work * float64(time.Millisecond) / prefillTokensPerMillisecond)
 }
 
-// Occupancy returns the share of the candidates' slots that the requests of all instances use.
-func Occupancy(candidates []Candidate) float64 {
-	running, slots := 0, 0
-	for i := range candidates {
-		running += candidates[i].InFlight + candidates[i].Fleet.Running
-		slots += candidates[i].Slots
-	}
-	return float64(running) / float64(max(1, slots))
-}
-
 // SampledLowest picks the candidate with the lowest score of a random sample. The sample contains all candidates that hold a part of the
 // prompt, and up to Size others inside and outside of the model's partition.
 type SampledLowest struct{ Size int }
