Bound the readiness and peer listeners by the progress of their callers too

Requests of peers kept their connection while their bodies arrived, so stalled queries could take all places for the time of a body. All listeners now keep a connection only from the end of the body.

--- a/internal/app/servers.go
+++ b/internal/app/servers.go
@@ -46,7 +46,7 @@
 	evictions := callerconn.NewEvictions(i.log, func(name string) { i.metrics.AddToCounter(name, 1) })
 	callerhttp.Register(caller, i.router, i.newBodies(evictions))
 	connections := i.newCallerConnections(evictions)
-	err := i.openPort("caller", i.settings.Listen.Caller, connections.BodyHandler(caller), connections, i.tlsConfigs.caller)
+	err := i.openPort("caller", i.settings.Listen.Caller, connections.Handler(caller), connections, i.tlsConfigs.caller)
 	if err != nil {
 		return err
 	}
--- a/internal/architecture/architecture_test.go
+++ b/internal/architecture/architecture_test.go
@@ -20,7 +20,7 @@
 
 // decisionPackages lists the packages that make decisions. They must not depend on a wire format, a transport or a store.
 var decisionPackages = []string{
-	"internal/admission", "internal/backend", "internal/cascade", "internal/engine/stream", "internal/limit", "internal/lockorder", "internal/placement",
+	"internal/admission", "internal/backend", "internal/cascade", "internal/engine/stream", "internal/limit", "internal/lockorder", "internal/overload", "internal/placement",
 	"internal/quorum", "internal/rendezvous", "internal/retry", "internal/rollout", "internal/routing", "internal/worker",
 }
 
--- a/internal/callerconn/handler.go
+++ b/internal/callerconn/handler.go
@@ -9,8 +9,15 @@
 	"time"
 )
 
-// refusalLinger is how long net/http may wait for the rest of a body that the handler has not read to its end.
-const refusalLinger = 500 * time.Millisecond
+// RefusalLinger is how long the connection of a request stays open that was refused before its body had arrived, so that a caller that still sends
+// gets the refusal before its connection ends. Without a limit, net/http would wait for the body for as long as the caller keeps silent.
+const RefusalLinger = 500 * time.Millisecond
+
+// BodyInterrupter ends the reading of a request's body.
+type BodyInterrupter struct{ Controller *http.ResponseController }
+
+// Interrupt implements buffer.Interrupter. It has no effect on writers without deadlines, such as httptest.ResponseRecorder.
+func (b BodyInterrupter) Interrupt() { _ = b.Controller.SetReadDeadline(time.Unix(1, 0)) }
 
 // DescriptorLimit returns the number of descriptors that the process may open.
 func DescriptorLimit() int {
@@ -22,35 +29,26 @@
 	return int(min(limit.Cur, most))
 }
 
-// Handler returns a handler whose requests keep their connection open until they are answered, also while their bodies arrive. It is for servers
-// that bound the time of bodies.
+// Handler returns a handler whose requests keep their connection open from the end of their body until they are answered. Requests of HTTP/2, which
+// share a connection, keep it open while their bodies arrive; the server must bound the time of these.
 func (t *Table) Handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if !t.MarkBusy(r.Context()) || !t.MarkComplete(r.Context()) {
+		if !t.MarkBusy(r.Context()) {
 			panic(http.ErrAbortHandler)
 		}
-		next.ServeHTTP(w, r)
-	})
-}
-
-// BodyHandler returns a handler whose requests keep their connection open from the end of their body until they are answered. Requests of HTTP/2,
-// which share a connection, keep it open while their bodies arrive.
-func (t *Table) BodyHandler(next http.Handler) http.Handler {
-	whole := t.Handler(next)
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.ProtoMajor != 1 || r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
-			whole.ServeHTTP(w, r)
+		if r.ProtoMajor != 1 || r.ContentLength == 0 {
+			if !t.MarkComplete(r.Context()) {
+				panic(http.ErrAbortHandler)
+			}
+			next.ServeHTTP(w, r)
 			return
 		}
-		if !t.MarkBusy(r.Context()) {
-			panic(http.ErrAbortHandler)
-		}
 		body := &completingBody{ReadCloser: r.Body, table: t, ctx: r.Context()}
 		r.Body = body
 		next.ServeHTTP(w, r)
 		if !body.complete {
 			// The error is ignored: writers without deadlines, such as httptest.ResponseRecorder, do not support them.
-			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(refusalLinger))
+			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(RefusalLinger))
 		}
 	})
 }
--- a/internal/server/callerhttp/callerhttp.go
+++ b/internal/server/callerhttp/callerhttp.go
@@ -16,6 +16,7 @@
 	"github.com/cicadawall/cicadawall/internal/access"
 	"github.com/cicadawall/cicadawall/internal/api"
 	"github.com/cicadawall/cicadawall/internal/buffer"
+	"github.com/cicadawall/cicadawall/internal/callerconn"
 	"github.com/cicadawall/cicadawall/internal/declaration"
 	"github.com/cicadawall/cicadawall/internal/dispatch"
 	"github.com/cicadawall/cicadawall/internal/fault"
@@ -97,15 +98,9 @@
 
 // beginBody returns the memory of the request's body, which must be released when the request has ended.
 func (h *Handler) beginBody(c echo.Context) *buffer.Body {
-	return h.bodies.Begin(interrupter{http.NewResponseController(c.Response())})
+	return h.bodies.Begin(callerconn.BodyInterrupter{Controller: http.NewResponseController(c.Response())})
 }
 
-// interrupter ends the reading of a request's body.
-type interrupter struct{ controller *http.ResponseController }
-
-// Interrupt implements buffer.Interrupter. It fails on response writers without deadlines, such as httptest.ResponseRecorder.
-func (i interrupter) Interrupt() { _ = i.controller.SetReadDeadline(time.Unix(1, 0)) }
-
 // readBody reads the request body and refuses one that exceeds the size limit, or for which there is no memory.
 func (h *Handler) readBody(c echo.Context, body *buffer.Body) ([]byte, *fault.Error) {
 	limit := h.router.MaxBodyBytes()
--- a/internal/server/callerhttp/callerhttp_test.go
+++ b/internal/server/callerhttp/callerhttp_test.go
@@ -57,7 +57,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := &http.Server{Handler: table.BodyHandler(e), ConnContext: table.ConnContext, ConnState: table.ConnState}
+	server := &http.Server{Handler: table.Handler(e), ConnContext: table.ConnContext, ConnState: table.ConnState}
 	access.Harden(server, access.Bounds{MaxBodyBytes: maxBodyBytes})
 	served := make(chan error)
 	go func() { served <- server.Serve(table.Listener(listener)) }()
