--- a/internal/app/overload.go
+++ b/internal/app/overload.go
@@ -20,20 +20,20 @@
 // newCallerConnections returns the table of the callers' connections.
 func (i *Instance) newCallerConnections(evictions *callerconn.Evictions) *callerconn.Table {
 	limit := min(i.settings.Limits.CallerConnections, callerconn.DescriptorLimit()/callerDescriptors)
-	table := i.newConnections(limit, evictions)
+	table := i.newConnections("", limit, evictions)
 	i.metrics.RegisterGauge("cicadawall_caller_connections", func() float64 { return float64(table.Open()) })
 	i.metrics.RegisterGauge("cicadawall_caller_connections_limit", func() float64 { return float64(limit) })
 	return table
 }
 
 // newInternalConnections returns the table of the connections of the operator or the peer port.
-func (i *Instance) newInternalConnections(limit int, evictions *callerconn.Evictions) *callerconn.Table {
-	return i.newConnections(min(limit, callerconn.DescriptorLimit()/internalDescriptors), evictions)
+func (i *Instance) newInternalConnections(name string, limit int, evictions *callerconn.Evictions) *callerconn.Table {
+	return i.newConnections(name, min(limit, callerconn.DescriptorLimit()/internalDescriptors), evictions)
 }
 
-func (i *Instance) newConnections(limit int, evictions *callerconn.Evictions) *callerconn.Table {
+func (i *Instance) newConnections(name string, limit int, evictions *callerconn.Evictions) *callerconn.Table {
 	grace := settings.Millis(i.settings.Limits.EvictionGraceMillis)
-	return callerconn.NewTable(callerconn.Options{Limit: limit, Grace: grace, OnEvict: evictions.Add})
+	return callerconn.NewTable(callerconn.Options{Name: name, Limit: limit, Grace: grace, OnEvict: evictions.Add})
 }
 
 // newBodies returns the memory for the bodies of callers' requests.
--- a/internal/app/servers.go
+++ b/internal/app/servers.go
@@ -50,12 +50,12 @@
 	if err != nil {
 		return err
 	}
-	connections = i.newInternalConnections(maxOperatorConnections, evictions)
+	connections = i.newInternalConnections("operator_", maxOperatorConnections, evictions)
 	operator := connections.Handler(i.operatorHandler())
 	if err := i.openPort("operator", i.settings.Listen.Operator, operator, connections, i.tlsConfigs.operator); err != nil {
 		return err
 	}
-	connections = i.newInternalConnections(maxPeerConnections, evictions)
+	connections = i.newInternalConnections("peer_", maxPeerConnections, evictions)
 	return i.openPort("peer", i.settings.Listen.Peer, connections.Handler(i.peerHandler()), connections, i.tlsConfigs.peerServer)
 }
 
--- a/internal/callerconn/table.go
+++ b/internal/callerconn/table.go
@@ -18,6 +18,8 @@
 
 // Options configure a Table.
 type Options struct {
+	// Name precedes the reasons that OnEvict is told.
+	Name string
 	// Limit is the number of connections that may be open.
 	Limit int
 	// Grace is how long a connection may take to send its first bytes before it counts as slow.
@@ -72,7 +74,7 @@
 		if evicted == nil {
 			return tracked, nil
 		}
-		l.table.options.OnEvict(reason)
+		l.table.options.OnEvict(l.table.options.Name + reason)
 		_ = evicted.Close()
 		if evicted != tracked {
 			return tracked, nil
