--- a/internal/app/servers.go
+++ b/internal/app/servers.go
@@ -46,16 +46,16 @@
 	evictions := callerconn.NewEvictions(i.log, func(name string) { i.metrics.AddToCounter(name, 1) })
 	callerhttp.Register(caller, i.router, i.newBodies(evictions))
 	connections := i.newCallerConnections(evictions)
-	err := i.openPort("caller", i.settings.Listen.Caller, connections.BodyHandler(caller), connections, i.tlsConfigs.caller)
+	err := i.openPort("caller", i.settings.Listen.Caller, connections.Handler(caller), connections, i.tlsConfigs.caller)
 	if err != nil {
 		return err
 	}
-	connections = i.newInternalConnections(maxOperatorConnections, evictions)
+	connections = i.newInternalConnections("operator_", maxOperatorConnections, evictions)
 	operator := connections.Handler(i.operatorHandler())
 	if err := i.openPort("operator", i.settings.Listen.Operator, operator, connections, i.tlsConfigs.operator); err != nil {
 		return err
 	}
-	connections = i.newInternalConnections(maxPeerConnections, evictions)
+	connections = i.newInternalConnections("peer_", maxPeerConnections, evictions)
 	return i.openPort("peer", i.settings.Listen.Peer, connections.Handler(i.peerHandler()), connections, i.tlsConfigs.peerServer)
 }
 
