Make decisions on evacuated zones cheap for many servers

A request looked up the zone of each candidate in a map, also long after the last evacuation. The view now holds the evacuated zones and the ends as short lists, and a query takes only the recent ends.

--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -221,6 +221,9 @@
 
 // Candidates returns the servers of the service in the form that the routing policy evaluates.
 func (d *Directory) Candidates(q Query, now time.Time) []routing.Candidate {
+	if q.Cold != nil {
+		q.Cold.recentEnds = q.Evacuations.EndsAfter(now.Add(-q.Cold.Duration))
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	rows := d.rowsByService[q.Service]
@@ -229,7 +232,7 @@
 		if !r.removeAt.IsZero() && !now.Before(r.removeAt) {
 			continue
 		}
-		candidate := r.candidate(q, now)
+		candidate := r.candidate(&q, now)
 		process := r.entry.process()
 		_, leaving := d.leaving[process]
 		candidate.Leaving = candidate.Leaving || leaving
@@ -239,7 +242,7 @@
 	return candidates
 }
 
-func (r *row) candidate(q Query, now time.Time) routing.Candidate {
+func (r *row) candidate(q *Query, now time.Time) routing.Candidate {
 	return routing.Candidate{
 		ID:            r.entry.ID,
 		Zone:          r.entry.AvailabilityZone,
--- a/internal/evacuation/record.go
+++ b/internal/evacuation/record.go
@@ -2,6 +2,7 @@
 package evacuation
 
 import (
+	"slices"
 	"time"
 )
 
@@ -43,18 +44,37 @@
 
 // View is an immutable copy of the records for decisions on requests. The nil View has no records.
 type View struct {
-	records map[string]Record
+	evacuated []string
+	ends      []Record
+}
+
+func newView(records map[string]Record) *View {
+	v := &View{}
+	for zone, record := range records {
+		if record.Active {
+			v.evacuated = append(v.evacuated, zone)
+		} else {
+			v.ends = append(v.ends, record)
+		}
+	}
+	return v
 }
 
 // Evacuated reports whether the zone is evacuated.
 func (v *View) Evacuated(zone string) bool {
-	return v != nil && v.records[zone].Active
+	return v != nil && slices.Contains(v.evacuated, zone)
 }
 
-// EndedAt returns when the end of the zone's evacuation was learnt; zero if there was none or the zone is evacuated.
-func (v *View) EndedAt(zone string) time.Time {
+// EndsAfter returns the records of the evacuations whose end was learnt after the time.
+func (v *View) EndsAfter(after time.Time) []Record {
+	var recent []Record
 	if v == nil {
-		return time.Time{}
+		return nil
+	}
+	for _, record := range v.ends {
+		if record.EndedAt.After(after) {
+			recent = append(recent, record)
+		}
 	}
-	return v.records[zone].EndedAt
+	return recent
 }
--- a/internal/evacuation/table.go
+++ b/internal/evacuation/table.go
@@ -146,6 +146,7 @@
 		return
 	}
 	var changes []Record
+	changed := false
 	t.mu.Lock()
 	for _, record := range records {
 		previous, recorded := t.records[record.Zone]
@@ -153,12 +154,15 @@
 			continue
 		}
 		t.records[record.Zone] = record
+		changed = true
 		if record.Active != previous.Active {
 			changes = append(changes, record)
 		}
 	}
-	t.forgetOldEnds()
-	t.view = &View{records: maps.Clone(t.records)}
+	if changed {
+		t.forgetOldEnds()
+		t.view = newView(t.records)
+	}
 	t.mu.Unlock()
 	for _, change := range changes {
 		if change.Active {
--- a/internal/evacuation/table_test.go
+++ b/internal/evacuation/table_test.go
@@ -47,7 +47,8 @@
 	table := newTable()
 	table.Merge([]Record{{Zone: "a", Revision: 4, Active: true}, {Zone: "b", Revision: 9, Active: true}}, "peer")
 	table.EndMissing(nil, 7, start)
-	if view := table.View(); view.Evacuated("a") || !view.Evacuated("b") || !view.EndedAt("a").Equal(start) {
+	if view := table.View(); view.Evacuated("a") || !view.Evacuated("b") ||
+		len(view.EndsAfter(start.Add(-1))) != 1 || len(view.EndsAfter(start)) != 0 {
 		t.Errorf("records after a complete read: %+v", table.Records())
 	}
 	table.Merge([]Record{{Zone: "a", Revision: 6, Active: true}, {Zone: "c", Revision: 5, Active: true}}, "peer")
--- a/internal/exchange/evacuations_test.go
+++ b/internal/exchange/evacuations_test.go
@@ -32,7 +32,8 @@
 		endedAt := time.Now()
 		<-time.After(time.Second)
 		round(t, knowing)
-		if view := late.Evacuations.View(); view.Evacuated("zone-a") || !view.EndedAt("zone-a").Equal(endedAt) {
+		if view := late.Evacuations.View(); view.Evacuated("zone-a") || len(view.EndsAfter(endedAt.Add(-1))) != 1 ||
+			len(view.EndsAfter(endedAt)) != 0 {
 			t.Errorf("after the end: %+v", late.Evacuations.Records())
 		}
 	})
--- a/internal/gateway/candidates.go
+++ b/internal/gateway/candidates.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"slices"
 	"time"
 
 	"github.com/cicadawall/cicadawall/internal/backend"
@@ -30,13 +29,21 @@
 		if !choice.Found || !r.boundsColdServers() {
 			return choice
 		}
-		i := slices.IndexFunc(candidates, func(c routing.Candidate) bool { return c.ID == choice.Server })
-		if candidates[i].ColdFor <= 0 {
+		chosen := candidateByID(candidates, choice.Server)
+		if chosen.ColdFor <= 0 {
 			return choice
 		}
-		candidates[i].ColdWait = r.gateway.ColdStarts.Take(choice.Server, r.service.ColdStart, candidates[i].ColdFor, now)
-		if candidates[i].ColdWait <= 0 {
+		chosen.ColdWait = r.gateway.ColdStarts.Take(chosen.ID, r.service.ColdStart, chosen.ColdFor, now)
+		if chosen.ColdWait <= 0 {
 			return choice
 		}
 	}
 }
+
+func candidateByID(candidates []routing.Candidate, id string) *routing.Candidate {
+	i := 0
+	for candidates[i].ID != id {
+		i++
+	}
+	return &candidates[i]
+}
