--- a/internal/gateway/evacuation_test.go
+++ b/internal/gateway/evacuation_test.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"context"
 	"io"
 	"log/slog"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -39,6 +41,53 @@
 	})
 }
 
+// evacuatingBackends evacuates the zone of the first server as soon as that gets a request.
+type evacuatingBackends struct {
+	*scriptedBackends
+	gateway *Gateway
+}
+
+func (e *evacuatingBackends) Send(ctx context.Context, attempt Attempt) (*Reply, error) {
+	if len(e.attempts) == 0 {
+		e.gateway.Evacuations.Begin(attempt.Server.AvailabilityZone, 1)
+	}
+	return e.scriptedBackends.Send(ctx, attempt)
+}
+
+// Guards against a stream that breaks off during an evacuation and resumes at another server of the evacuated zone, where its prompt is in
+// the cache.
+func TestStreamLeavesAnEvacuatedZone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		backends := &evacuatingBackends{scriptedBackends: &scriptedBackends{actions: []serverAction{
+			{confidence: 90, events: []int{1, 2}, truncated: true}, {confidence: 90, events: []int{3}},
+		}}}
+		g := newGateway(0, backends, discardLog)
+		defer g.Stop()
+		backends.gateway = g
+		prompt := []backend.PromptPart{{ID: "session", Tokens: 4000}, {ID: "own", Tokens: 1}}
+		for n := range 20 {
+			id := strconv.Itoa(n)
+			entry := backend.Entry{ID: id, Service: "desk", AvailabilityZone: []string{"a", "b"}[n%2], Slots: 4}
+			g.Directory.Put(entry, time.Now())
+			if n%2 == 0 {
+				attempt, _ := g.Directory.Begin(id, backend.Query{Model: "small", Prompt: prompt}, time.Now())
+				attempt.RecordPrefill(time.Now())
+				attempt.End(backend.ResultSuccess, time.Now())
+			}
+		}
+		caller := &recordingCaller{}
+		g.Serve(t.Context(), &Request{
+			ID: "r", Host: "h", Path: "/chat/x", Key: "key", AnyModel: true, Model: "*", Prompt: prompt, Arrived: time.Now(),
+		}, caller)
+		if len(backends.attempts) != 2 || caller.text != "1 2 3 " {
+			t.Fatalf("%d attempts, stream %q", len(backends.attempts), caller.text)
+		}
+		if first, second := backends.attempts[0].Server.AvailabilityZone, backends.attempts[1].Server.AvailabilityZone; first != "a" || second != "b" {
+			t.Errorf("the stream began in zone %s and resumed in zone %s", first, second)
+		}
+	})
+}
+
 // Guards against an answer that is dropped for a larger model which only servers of an evacuated zone could run.
 func TestNoEscalationIntoAnEvacuatedZone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
