--- a/internal/serverload/serverload_test.go
+++ b/internal/serverload/serverload_test.go
@@ -1,6 +1,7 @@
 package serverload
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"math"
@@ -115,6 +116,37 @@
 	})
 }
 
+// slowPeer answers each message after 100 ms with loads that are 500 ms old.
+type slowPeer struct{}
+
+func (slowPeer) Loads(context.Context, string, api.GatewayLoadsQuery) (api.GatewayLoads, error) {
+	<-time.After(100 * time.Millisecond)
+	return api.GatewayLoads{Incarnation: "slow", AgeMillis: 500, Usage: encodeReport([]item{{id: "s", load: load{running: 1}}})}, nil
+}
+
+// Guards against views that seem younger than their parts, and against views of a relay that does not know the reports yet.
+func TestAges(t *testing.T) {
+	for _, topology := range []Topology{{Relays: []string{"slow"}}, {Relay: true, Others: []string{"slow"}}} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, 1, 1)
+			table := f.nodes[0].table
+			table.Topology, table.Transport = func() Topology { return topology }, slowPeer{}
+			f.run(Interval, func() {})
+			if topology.Relay {
+				if loads, err := table.Answer(report("a", 1, nil)); err != nil || !loads.Partial || table.View(time.Now()) != nil {
+					t.Errorf("a relay answers during its first round: %+v, %v", loads, err)
+				}
+			}
+			f.run(4*Interval, func() {
+				if view := table.View(time.Now()); view != nil && view.Age(time.Now()) < 600*time.Millisecond {
+					t.Errorf("the view has an age of %s", view.Age(time.Now()))
+				}
+			})
+			f.checkViews()
+		})
+	}
+}
+
 // relay returns a warm relay without others, and a function that sends it a report and returns the reasons for which it was dropped.
 func relay(t *testing.T) (*Table, func(query api.GatewayLoadsQuery) map[string]int) {
 	f := newFleet(t, 1, 1)
