Compare placement with servers set aside by hand, and with a jump of the mix

Cause: the test of the played load had neither a division of the servers chosen in hindsight nor a change of the mix.

--- a/internal/routing/fleet_load_test.go
+++ b/internal/routing/fleet_load_test.go
@@ -105,7 +105,7 @@
 
 // playLoad places requests by the policy and returns the share of late ones by kind. viewAge is the time between two views of the servers; with
 // a negative one the instances know only their own requests.
-func playLoad(policy Policy, kinds []loadKind, rate float64, viewAge time.Duration) map[string]float64 {
+func playLoad(policy Policy, kindsAt func(now time.Duration) []loadKind, rate float64, viewAge time.Duration) map[string]float64 {
 	rng := rand.New(rand.NewPCG(11, 7))
 	servers := make([]*simServer, loadServers)
 	for i := range servers {
@@ -126,7 +126,7 @@
 			viewAt = now
 		}
 		for ; next <= now; next += time.Duration(rng.ExpFloat64() / rate * float64(time.Second)) {
-			kind := drawKind(kinds, rng)
+			kind := drawKind(kindsAt(now), rng)
 			r := &simRequest{kind: kind, arrived: now, left: kind.prompt}
 			instance := rng.IntN(loadInstances)
 			i := place(policy, r, servers, view, own[instance], rng)
@@ -190,37 +190,94 @@
 	return index[choice.Server]
 }
 
+// splitFilter divides the servers by hand: the first ones get the long prompts, the others the short ones.
+type splitFilter struct{ longServers int }
+
+// DropReason implements Filter.
+func (f splitFilter) DropReason(c *Candidate, r *Request, _ time.Time) Reason {
+	var number int
+	if _, err := fmt.Sscanf(c.ID, "s%d", &number); err != nil || (number < f.longServers) != (r.PromptTokens > chunkTokens) {
+		return ReasonNotLoaded
+	}
+	return ReasonNone
+}
+
+// bestSplit returns the late shares of the division of the servers by hand that makes the fewest requests late, chosen in hindsight.
+func bestSplit(kindsAt func(time.Duration) []loadKind, rate float64, viewAge time.Duration) map[string]float64 {
+	var best map[string]float64
+	lowest := 2.0
+	for _, longServers := range []int{14, 28, 42} {
+		policy := FleetPolicy()
+		policy.Filters = append([]Filter{splitFilter{longServers}}, policy.Filters...)
+		shares := playLoad(policy, kindsAt, rate, viewAge)
+		if worst := highest(shares); worst < lowest {
+			best, lowest = shares, worst
+		}
+	}
+	return best
+}
+
+// highest returns the highest of the shares.
+func highest(shares map[string]float64) float64 {
+	worst := 0.0
+	for _, share := range shares {
+		worst = max(worst, share)
+	}
+	return worst
+}
+
+func loadKinds(weights ...float64) []loadKind {
+	all := []loadKind{
+		{name: "short", prompt: 826, output: 290, target: 2 * time.Second},
+		{name: "medium", prompt: 2368, output: 22, target: 2 * time.Second},
+		{name: "long", prompt: 12000, output: 380, target: 4 * time.Second},
+		{name: "very long", prompt: 40000, output: 380, target: 4 * time.Second},
+	}
+	for i := range all {
+		all[i].weight = weights[i]
+	}
+	return all
+}
+
 // Guards against long prompts that hold up short ones on the same server, and against placing by the few requests that an instance has itself.
-// The baseline places by an instance's own requests; the oracle has a view without age and compares all servers. Callers need 95 in 100 on time.
+// The baseline places by an instance's own requests; the oracle has a view without age and compares all servers; the split sets servers aside for
+// long prompts. Callers need 95 in 100 on time, from no long prompts to only long ones and when the mix changes at once.
 func TestFleetLoadKeepsLongAndShortPromptsOnTime(t *testing.T) {
 	const maxLate, viewAge = 0.05, 300 * time.Millisecond
-	kinds := func(weights ...float64) []loadKind {
-		all := []loadKind{
-			{name: "short", prompt: 826, output: 290, target: 2 * time.Second},
-			{name: "medium", prompt: 2368, output: 22, target: 2 * time.Second},
-			{name: "long", prompt: 12000, output: 380, target: 4 * time.Second},
-			{name: "longest", prompt: 40000, output: 380, target: 4 * time.Second},
-		}
-		for i := range all {
-			all[i].weight = weights[i]
-		}
-		return all
+	always := func(kinds []loadKind) func(time.Duration) []loadKind {
+		return func(time.Duration) []loadKind { return kinds }
 	}
+	fewLong, manyLong := loadKinds(0.5, 0.45, 0.05, 0), loadKinds(0.1, 0.4, 0.5, 0)
 	oracle := FleetPolicy()
 	oracle.Picker = LowestScore{}
 	for name, c := range map[string]struct {
-		kinds []loadKind
-		// rate is the number of requests per second, about three quarters of what the engines bear.
+		kindsAt func(time.Duration) []loadKind
+		// rate is the number of requests per second, three quarters or more of what the engines bear.
 		rate float64
+		// split is set if there are both kinds to divide the servers between.
+		split bool
 	}{
-		"mixed":      {kinds(0.3, 0.42, 0.25, 0.03), 115},
-		"only short": {kinds(1, 0, 0, 0), 210},
-		"only long":  {kinds(0, 0, 1, 0), 55},
+		"mixed":      {always(loadKinds(0.3, 0.42, 0.25, 0.03)), 115, true},
+		"only short": {always(loadKinds(1, 0, 0, 0)), 210, false},
+		"only long":  {always(loadKinds(0, 0, 1, 0)), 55, false},
+		"jump": {func(now time.Duration) []loadKind {
+			if now < loadDuration/2 {
+				return fewLong
+			}
+			return manyLong
+		}, 90, true},
 	} {
-		baseline := playLoad(PromptPolicy(), c.kinds, c.rate, -1)
-		fleet := playLoad(FleetPolicy(), c.kinds, c.rate, viewAge)
-		best := playLoad(oracle, c.kinds, c.rate, 0)
-		t.Logf("%s, late shares: baseline %.3v, fleet %.3v, oracle %.3v", name, baseline, fleet, best)
+		baseline := playLoad(PromptPolicy(), c.kindsAt, c.rate, -1)
+		fleet := playLoad(FleetPolicy(), c.kindsAt, c.rate, viewAge)
+		best := playLoad(oracle, c.kindsAt, c.rate, 0)
+		var split map[string]float64
+		if c.split {
+			split = bestSplit(c.kindsAt, c.rate, viewAge)
+		}
+		t.Logf("%s, late shares: baseline %.3v, fleet %.3v, oracle %.3v, best split %.3v", name, baseline, fleet, best, split)
+		if c.split && highest(fleet) > highest(split) {
+			t.Errorf("%s: more requests are late than with servers set aside by hand", name)
+		}
 		for kind, late := range fleet {
 			if late > maxLate || late > baseline[kind]/2 {
 				t.Errorf("%s: %.3f of the %s requests are late, %.3f by the baseline", name, late, kind, baseline[kind])
