Try a fourth division of the servers in the test of the played load

Cause: with 14, 28 and 42 of 70 servers for long prompts the best division in hindsight (56) was left out. Change: 56 is tried too.

--- a/internal/routing/fleet_load_test.go
+++ b/internal/routing/fleet_load_test.go
@@ -206,7 +206,7 @@
 func bestSplit(kindsAt func(time.Duration) []loadKind, rate float64, viewAge time.Duration) map[string]float64 {
 	var best map[string]float64
 	lowest := 2.0
-	for _, longServers := range []int{14, 28, 42} {
+	for _, longServers := range []int{14, 28, 42, 56} {
 		policy := FleetPolicy()
 		policy.Filters = append([]Filter{splitFilter{longServers}}, policy.Filters...)
 		shares := playLoad(policy, kindsAt, rate, viewAge)
