--- a/internal/buffer/bodies_test.go
+++ b/internal/buffer/bodies_test.go
@@ -51,8 +51,13 @@
 func TestSlowBodiesGiveWay(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const capacity, size = 1 << 20, 30_000
+		var mu sync.Mutex
 		reasons := map[string]int{}
-		b := NewBodies(capacity, bodyGrace, func(reason string) { reasons[reason]++ })
+		b := NewBodies(capacity, bodyGrace, func(reason string) {
+			mu.Lock()
+			defer mu.Unlock()
+			reasons[reason]++
+		})
 		ordinary := func() (*Body, error) {
 			body := b.Begin(newStalledBody(0))
 			data, err := body.ReadAll(bytes.NewReader(make([]byte, size)), size, 4<<20)
@@ -93,9 +98,11 @@
 			}
 			body.Release()
 		}
+		mu.Lock()
 		if complete.held != size || reasons[ReasonNoMemory] == 0 || reasons[ReasonSlowBody] == 0 {
 			t.Errorf("the complete body holds %d bytes, reasons %v", complete.held, reasons)
 		}
+		mu.Unlock()
 		complete.Release()
 		other.Release()
 		other.Release()
