Show that an order that has run is answered 503

A grey server runs orders and fails a part of them with 503 and its seal, without Cicadawall-Not-Executed. The router passes the status on, which tells the requester that the order has not run; the requester repeats it, and it is placed twice.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -18,7 +18,8 @@
 
 // cases are the scripted cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(w *world, trouble bool) (bool, error){
-	"last-tenant": lastTenant,
+	"busy-after-run": busyAfterRun,
+	"last-tenant":    lastTenant,
 }
 
 func main() {
