Show that groups of deadly requests crash all servers again and again

Crashes less than 200 ms apart count as one as evidence against a part of a prompt. Eight requests at once with a part that crashes servers end five servers and more, and more than ContactMs later eight further ones are passed on; the rule allows three. Sound streams on these servers are broken off. Three instances, eight servers, nothing else disturbed.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -19,6 +19,7 @@
 // cases are the scripted cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(w *world, trouble bool) (bool, error){
 	"busy-after-run": busyAfterRun,
+	"deadly-part":    deadlyPart,
 	"last-tenant":    lastTenant,
 }
 
