Play the deadly requests of case 9 in smaller groups

Four requests at once, 0.8 a second in all, are enough: later than ContactMs after the fifth crash some twelve of them reach servers; the rule allows three.

--- a/review/rig/deadly.go
+++ b/review/rig/deadly.go
@@ -16,7 +16,7 @@
 func deadlyPart(w *world, trouble bool) (bool, error) {
 	const (
 		groups     = 4
-		groupSize  = 8
+		groupSize  = 4
 		groupEvery = 5 * time.Second
 		allowed    = 3
 	)
