Show that a server's 101 leaves a requester without an answer

A faulty server runs an order and sends the head of a 101 that nobody asked for. The router passes it on as the server's failure; the requester takes it for an interim answer and waits until it gives up.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -18,9 +18,10 @@
 
 // cases are the scripted cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(w *world, trouble bool) (bool, error){
-	"busy-after-run": busyAfterRun,
-	"deadly-part":    deadlyPart,
-	"last-tenant":    lastTenant,
+	"busy-after-run":      busyAfterRun,
+	"deadly-part":         deadlyPart,
+	"switching-protocols": switchingProtocols,
+	"last-tenant":         lastTenant,
 }
 
 func main() {
