Require keys when the list of organisations is empty

Cause: NeedsKey was derived from the number of organisations, and the generated type read a missing, an empty and a null list as the same.

Change: Tenants is nullable in the schema. Only a manifest without the field needs no keys; the zero value of Configuration.AllowAnonymous requires them.

--- a/api/gen.sh
+++ b/api/gen.sh
@@ -5,14 +5,14 @@
 root=$(cd "$(dirname "$0")/.." && pwd)
 out=${1:-$root}
 
-generate() { # generate SPEC PACKAGE OUTPUT
+generate() { # generate SPEC PACKAGE OUTPUT [OUTPUT_OPTIONS]
   local config
   config=$(mktemp)
   cat >"$config" <<CONFIG
 package: $2
 output: $3
 generate: {models: true}
-output-options: {skip-prune: true, yaml-tags: true, prefer-skip-optional-pointer: true, prefer-skip-optional-pointer-with-omitzero: false}
+output-options: {skip-prune: true, yaml-tags: true, prefer-skip-optional-pointer: true, prefer-skip-optional-pointer-with-omitzero: false${4:+, $4}}
 import-mapping: {common.yaml: "-", declaration.yaml: "-", engine.yaml: "-"}
 CONFIG
   go tool -modfile=../tools/go.mod oapi-codegen -config "$config" "$1"
@@ -24,4 +24,5 @@
 for spec in *.yaml; do
   generate "$spec" api "$out/internal/api/${spec%.yaml}.gen.go"
 done
-generate ../platform/wire.yaml wire "$out/platform/wire/wire.gen.go"
+# A list of permissions that is missing and one that is empty mean different things; nullable types keep them apart.
+generate ../platform/wire.yaml wire "$out/platform/wire/wire.gen.go" "nullable-type: true"
--- /dev/null
+++ b/internal/e2e/fleet_keys_test.go
@@ -0,0 +1,95 @@
+package e2e
+
+import (
+	"fmt"
+	"net/http"
+	"syscall"
+	"testing"
+)
+
+// keyCheck counts requests, so that each has an identifier of its own.
+type keyCheck struct {
+	f    *fleet
+	sent int
+}
+
+// expect sends an order with the key and fails the test if the status differs, or if a refused order runs at a backend server.
+func (c *keyCheck) expect(i *fleetInstance, when, key string, status int) {
+	c.f.t.Helper()
+	c.sent++
+	id := fmt.Sprintf("key-%d", c.sent)
+	got := c.f.sendWithKey(i, http.MethodPost, "/buy/x", id, key)
+	ran := len(c.f.runsOf(id))
+	if got.status != status || (ran > 0) != (status == http.StatusOK) {
+		c.f.t.Errorf("%s, key %q at %s: status %d and %d runs, want status %d", when, key, i.name, got.status, ran, status)
+	}
+}
+
+// expectClosed checks that no order runs: neither with the revoked key, nor with one that never existed, nor without one.
+func (c *keyCheck) expectClosed(i *fleetInstance, when string) {
+	c.f.t.Helper()
+	for _, key := range []string{fleetKey, "forged", ""} {
+		c.expect(i, when, key, http.StatusUnauthorized)
+	}
+}
+
+// awaitStatus waits until the instance answers requests that have the key with the status.
+func (c *keyCheck) awaitStatus(i *fleetInstance, when, key string, status int) {
+	c.f.t.Helper()
+	eventually(c.f.t, recoveryTimeout, fmt.Sprintf("%s, %s answers %d", when, i.name, status), func() bool {
+		return c.f.sendWithKey(i, http.MethodGet, "/look/x", "await", key).status == status
+	})
+}
+
+func (f *fleet) restart(i *fleetInstance) {
+	f.t.Helper()
+	i.process.Signal(syscall.SIGKILL)
+	i.process.WaitForExit(startTimeout)
+	f.startInstanceProcess(i)
+}
+
+// Guards against a manifest whose list of organisations is empty that opens all routes to every caller: at instances that get it from the store,
+// after a restart, and at an instance that gets it from a peer.
+func TestFleetLastOrganisationRemoved(t *testing.T) {
+	f := newFleet(t, 2)
+	c := &keyCheck{f: f}
+	fromStore, fromPeer := f.instances[0], f.instances[1]
+	for _, i := range f.instances {
+		c.expect(i, "with the organisation", fleetKey, http.StatusOK)
+		c.expect(i, "with the organisation", "forged", http.StatusUnauthorized)
+	}
+	f.writeManifestWith("[]")
+	for _, i := range f.instances {
+		c.awaitStatus(i, "without organisations", fleetKey, http.StatusUnauthorized)
+		c.expectClosed(i, "without organisations")
+	}
+	f.restart(fromStore)
+	f.awaitReady(fromStore)
+	c.expectClosed(fromStore, "after a restart")
+	fromPeer.storeProxy.setState(linkReset)
+	f.restart(fromPeer)
+	c.awaitStatus(fromPeer, "with the manifest of a peer", fleetKey, http.StatusUnauthorized)
+	c.expectClosed(fromPeer, "with the manifest of a peer")
+	fromPeer.storeProxy.setState(linkOpen)
+	f.awaitReady(fromPeer)
+	f.writeManifest(fleetKey)
+	for _, i := range f.instances {
+		c.awaitStatus(i, "with the organisation again", fleetKey, http.StatusOK)
+		c.expect(i, "with the organisation again", fleetKey, http.StatusOK)
+		c.expect(i, "with the organisation again", "forged", http.StatusUnauthorized)
+	}
+}
+
+// Guards against a manifest that names no organisations at all being taken for one whose list is empty.
+func TestFleetMissingOrganisations(t *testing.T) {
+	f := newFleet(t, 1)
+	c := &keyCheck{f: f}
+	i := f.instances[0]
+	f.writeManifestWith("")
+	c.awaitStatus(i, "without the field", "", http.StatusOK)
+	c.expect(i, "without the field", "", http.StatusOK)
+	f.writeManifestWith(`[{"Name": "arena-north", "ApiKeys": ["other"]}]`)
+	c.awaitStatus(i, "with another key", "", http.StatusUnauthorized)
+	c.expectClosed(i, "with another key")
+	c.expect(i, "with another key", "other", http.StatusOK)
+}
--- a/internal/e2e/fleet_world_test.go
+++ b/internal/e2e/fleet_world_test.go
@@ -12,6 +12,8 @@
 	"testing"
 	"time"
 
+	"github.com/oapi-codegen/nullable"
+
 	"github.com/cicadawall/cicadawall/internal/processtest"
 	"github.com/cicadawall/cicadawall/internal/standin/modelserver"
 	"github.com/cicadawall/cicadawall/internal/standin/retrycheck"
@@ -137,6 +139,27 @@
 
 // writeManifest writes the next version of the manifest to the store; its only organisation has the given API keys.
 func (f *fleet) writeManifest(keys ...string) {
+	manifest := f.nextManifest()
+	manifest.Organisations = nullable.NewNullableWithValue([]wire.ManifestTenant{{Name: "arena-north", ApiKeys: keys}})
+	f.store.Put("op", "config", f.encode(manifest))
+}
+
+// writeManifestWith writes the next version of the manifest to the store, with the JSON text as its field for organisations; without the field if
+// the text is empty.
+func (f *fleet) writeManifestWith(organisations string) {
+	f.t.Helper()
+	fields := map[string]json.RawMessage{}
+	if err := json.Unmarshal(f.encode(f.nextManifest()), &fields); err != nil {
+		f.t.Fatal(err)
+	}
+	if organisations != "" {
+		fields["Tenants"] = json.RawMessage(organisations)
+	}
+	f.store.Put("op", "config", f.encode(fields))
+}
+
+// nextManifest returns the next version of the manifest without organisations.
+func (f *fleet) nextManifest() wire.Manifest {
 	f.manifestVersion++
 	route := func(name, kind, service string) wire.ManifestRoute {
 		return wire.ManifestRoute{
@@ -149,12 +172,11 @@
 	stream.ModelsBySize = []string{"small", "large"}
 	order := route("buy", "non_idempotent", "orders")
 	order.MaxAttempts = 1
-	f.store.Put("op", "config", f.encode(wire.Manifest{
-		Version:       f.manifestVersion,
-		Routes:        []wire.ManifestRoute{stream, order, route("look", "safe", "orders")},
-		Services:      []wire.ManifestService{{Name: "models"}, {Name: "orders", ColdStartS: 3, ColdPerS: f.options.coldPerSecond}},
-		Organisations: []wire.ManifestTenant{{Name: "arena-north", ApiKeys: keys}},
-	}))
+	return wire.Manifest{
+		Version:  f.manifestVersion,
+		Routes:   []wire.ManifestRoute{stream, order, route("look", "safe", "orders")},
+		Services: []wire.ManifestService{{Name: "models"}, {Name: "orders", ColdStartS: 3, ColdPerS: f.options.coldPerSecond}},
+	}
 }
 
 func (f *fleet) encode(value any) []byte {
@@ -210,15 +232,20 @@
 
 // send sends one request to the instance and reads the whole response.
 func (f *fleet) send(i *fleetInstance, method, path, id string) reply {
-	return f.sendWithPrompt(i, method, path, id, "shared:80,"+id+":20")
+	return f.sendWithKey(i, method, path, id, fleetKey)
+}
+
+// sendWithKey sends one request with the API key, or without one if it is empty, and reads the whole response.
+func (f *fleet) sendWithKey(i *fleetInstance, method, path, id, key string) reply {
+	return f.sendRequest(i, method, path, id, key, "shared:80,"+id+":20")
 }
 
 // sendPrompt sends a request for a stream with the prompt.
 func (f *fleet) sendPrompt(i *fleetInstance, id, prompt string) reply {
-	return f.sendWithPrompt(i, http.MethodPost, "/chat/x", id, prompt)
+	return f.sendRequest(i, http.MethodPost, "/chat/x", id, fleetKey, prompt)
 }
 
-func (f *fleet) sendWithPrompt(i *fleetInstance, method, path, id, prompt string) reply {
+func (f *fleet) sendRequest(i *fleetInstance, method, path, id, key, prompt string) reply {
 	request, err := http.NewRequest(method, "http://"+i.callerAddress+path, strings.NewReader("body of "+id))
 	if err != nil {
 		return reply{err: err}
@@ -226,7 +253,9 @@
 	request.Host = fleetHost
 	request.Header.Set("Cicadawall-Request-Id", id)
 	request.Header.Set("Cicadawall-Request-Deadline", "5000")
-	request.Header.Set("Authorization", "Bearer "+fleetKey)
+	if key != "" {
+		request.Header.Set("Authorization", "Bearer "+key)
+	}
 	if strings.HasPrefix(path, "/chat/") {
 		request.Header.Set("Cicadawall-Model", "*")
 		request.Header.Set("Cicadawall-Token-Counts", "100,40")
--- a/internal/flood/world_test.go
+++ b/internal/flood/world_test.go
@@ -12,6 +12,8 @@
 	"testing"
 	"time"
 
+	"github.com/oapi-codegen/nullable"
+
 	"github.com/cicadawall/cicadawall/internal/processtest"
 	"github.com/cicadawall/cicadawall/internal/standin/modelserver"
 	"github.com/cicadawall/cicadawall/internal/standin/rowstore"
@@ -76,7 +78,7 @@
 			MaxAttempts: 3,
 		}},
 		Services:      []wire.ManifestService{{Name: "orders"}},
-		Organisations: []wire.ManifestTenant{{Name: "arena-north", ApiKeys: []string{key}}},
+		Organisations: nullable.NewNullableWithValue([]wire.ManifestTenant{{Name: "arena-north", ApiKeys: []string{key}}}),
 	})
 	dir := t.TempDir()
 	w := &world{t: t, callers: processtest.FreeAddress(t), readiness: processtest.FreeAddress(t), descriptors: descriptors}
--- a/internal/gateway/configuration.go
+++ b/internal/gateway/configuration.go
@@ -116,7 +116,10 @@
 	Routes        []Route
 	Services      []Service
 	Organisations []Organisation
-	Limits        Limits
+	// AllowAnonymous is set if the declaration has no list of organisations at all, so that no request needs an API key. An empty list is
+	// different: the operator took the last organisation away, and no key is valid.
+	AllowAnonymous bool
+	Limits         Limits
 	// Document is the encoded form, which other instances fetch.
 	Document []byte
 
@@ -175,9 +178,10 @@
 // Organisation returns the organisation that an API key belongs to, or nil.
 func (c *Configuration) Organisation(key string) *Organisation { return c.keys[key] }
 
-// NeedsKey reports whether requests of the route must carry a known API key.
+// NeedsKey reports whether requests of the route must carry a known API key. It does not depend on the number of organisations: taking the
+// last one away must not open the route.
 func (c *Configuration) NeedsKey(route *Route) bool {
-	return len(c.Organisations) > 0 && !route.AllowAnonymous
+	return !c.AllowAnonymous && !route.AllowAnonymous
 }
 
 // ConfigurationTable holds the configuration in force. Its version never decreases. It is safe for concurrent use.
