Ignore empty API keys in a manifest

Callers saw: with an empty string among the keys of an organisation, requests without a key ran as that organisation's.

Cause: a request without a key has an empty one, and the table of keys held it.

--- a/internal/e2e/fleet_keys_test.go
+++ b/internal/e2e/fleet_keys_test.go
@@ -80,7 +80,8 @@
 	}
 }
 
-// Guards against a manifest that names no organisations at all being taken for one whose list is empty.
+// Guards against a manifest that names no organisations at all being taken for one whose list is empty, and against an empty API key that admits
+// requests without a key.
 func TestFleetMissingOrganisations(t *testing.T) {
 	f := newFleet(t, 1)
 	c := &keyCheck{f: f}
@@ -88,8 +89,8 @@
 	f.writeManifestWith("")
 	c.awaitStatus(i, "without the field", "", http.StatusOK)
 	c.expect(i, "without the field", "", http.StatusOK)
-	f.writeManifestWith(`[{"Name": "arena-north", "ApiKeys": ["other"]}]`)
-	c.awaitStatus(i, "with another key", "", http.StatusUnauthorized)
-	c.expectClosed(i, "with another key")
-	c.expect(i, "with another key", "other", http.StatusOK)
+	f.writeManifestWith(`[{"Name": "arena-north", "ApiKeys": ["", "other"]}]`)
+	c.awaitStatus(i, "with an empty key", "", http.StatusUnauthorized)
+	c.expectClosed(i, "with an empty key")
+	c.expect(i, "with an empty key", "other", http.StatusOK)
 }
--- a/internal/gateway/configuration.go
+++ b/internal/gateway/configuration.go
@@ -151,7 +151,10 @@
 	}
 	for i := range c.Organisations {
 		for _, key := range c.Organisations[i].Keys {
-			c.keys[key] = &c.Organisations[i]
+			// A request without a key has an empty one.
+			if key != "" {
+				c.keys[key] = &c.Organisations[i]
+			}
 		}
 	}
 	return c
