Refuse models on routes whose list of models is empty

Callers saw: a route with an empty list of models passed requests on for whichever model they named.

Cause: an empty list was read like a missing field, and a route without the field leaves the model to the caller. The manifests of two deployments leave the field out where it does not apply, so an empty list is a statement of the operator.

Change: Sizes is nullable in the schema. If it is there and names no model, requests with a prompt or a model get 403 not_allowed at once and do not run.

--- a/internal/e2e/fleet_keys_test.go
+++ b/internal/e2e/fleet_keys_test.go
@@ -5,6 +5,10 @@
 	"net/http"
 	"syscall"
 	"testing"
+
+	"github.com/oapi-codegen/nullable"
+
+	"github.com/cicadawall/cicadawall/platform/wire"
 )
 
 // keyCheck counts requests, so that each has an identifier of its own.
@@ -94,3 +98,22 @@
 	c.expectClosed(i, "with an empty key")
 	c.expect(i, "with an empty key", "other", http.StatusOK)
 }
+
+// Guards against a route whose list of allowed models is empty that passes requests on with any model.
+func TestFleetEmptyModelList(t *testing.T) {
+	f := newFleet(t, 1)
+	i := f.instances[0]
+	manifest := f.nextManifest()
+	manifest.Organisations = nullable.NewNullableWithValue([]wire.ManifestTenant{{Name: "arena-north", ApiKeys: []string{fleetKey}}})
+	manifest.Routes[0].ModelsBySize = nullable.NewNullableWithValue([]string{})
+	f.store.Put("op", "config", f.encode(manifest))
+	eventually(t, recoveryTimeout, "a stream is refused", func() bool {
+		return f.send(i, http.MethodPost, "/chat/x", "await").status == http.StatusForbidden
+	})
+	if got := f.send(i, http.MethodPost, "/chat/x", "closed"); got.status != http.StatusForbidden || len(f.runsOf("closed")) > 0 {
+		t.Errorf("stream: %+v, %d runs", got, len(f.runsOf("closed")))
+	}
+	if got := f.send(i, http.MethodGet, "/look/x", "other route"); got.status != http.StatusOK {
+		t.Errorf("request on a route without models: %+v", got)
+	}
+}
--- a/internal/e2e/fleet_world_test.go
+++ b/internal/e2e/fleet_world_test.go
@@ -169,7 +169,7 @@
 	}
 	stream := route("chat", "streaming", "models")
 	stream.StreamResumption, stream.CarriesPrompt, stream.TargetInterTokenMs = true, true, 400
-	stream.ModelsBySize = []string{"small", "large"}
+	stream.ModelsBySize = nullable.NewNullableWithValue([]string{"small", "large"})
 	order := route("buy", "non_idempotent", "orders")
 	order.MaxAttempts = 1
 	return wire.Manifest{
--- a/internal/gateway/configuration.go
+++ b/internal/gateway/configuration.go
@@ -47,8 +47,10 @@
 	// Priority is the priority of requests of the route; 0 is the most urgent.
 	Priority int
 	// Models are the models that may answer requests of the route, smallest first; empty if the caller names the model.
-	Models   []string
-	Services []WeightedService
+	Models []string
+	// AllowsNoModel is set if the declaration lists the models that may answer, and the list is empty.
+	AllowsNoModel bool
+	Services      []WeightedService
 	// MaxAttempts is the largest number of attempts in which servers run one request.
 	MaxAttempts int
 	// AllowAnonymous is set if requests need no API key.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -180,6 +180,9 @@
 	if organisation == nil && c.NeedsKey(route) {
 		return route, nil, fault.NotRun(fault.StepAuthenticate, fault.CodeUnauthenticated, "the API key is unknown")
 	}
+	if route.AllowsNoModel && (route.HasPrompt || request.Model != "") {
+		return route, nil, fault.NotRun(fault.StepAdmit, fault.CodeNotAllowed, "the route allows no model")
+	}
 	return route, organisation, nil
 }
 
