--- a/internal/httpconn/endless_test.go
+++ b/internal/httpconn/endless_test.go
@@ -70,7 +70,7 @@
 			if grown := heapInUse() - before; grown > maxEndlessHeapBytes {
 				t.Errorf("the heap grew by %d bytes", grown)
 			}
-			if c := pool.popIdle(address); c != nil {
+			for c := pool.popIdle(address); c != nil; c = pool.popIdle(address) {
 				// Bytes that arrive after a complete answer are noticed at the latest when the connection is to be used again.
 				_, _ = c.reader.Peek(1)
 				if c.healthy() {
