Take only final statuses for an answer

Cause: both senders returned a 101 as a final answer. No request asks to switch protocols, so that it answers none. Statuses below 100 were skipped like interim responses, and those of 600 and more were passed on.

Change: a status outside 200 to 599 is an error of a request that may have run, at once, in the senders of both front ends; the connection is closed.

--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -47,6 +47,7 @@
 		modelserver.FaultFull: http.StatusServiceUnavailable, modelserver.FaultError: http.StatusInternalServerError,
 		modelserver.FaultLost: http.StatusBadGateway, modelserver.FaultBreak: http.StatusBadGateway,
 		modelserver.FaultForeign: http.StatusGatewayTimeout, modelserver.FaultUnsealed: http.StatusBadGateway,
+		modelserver.FaultSwitch: http.StatusBadGateway,
 	} {
 		for _, server := range f.servers {
 			server.SetFault(fault, -1)
--- a/internal/httpconn/exchange.go
+++ b/internal/httpconn/exchange.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/cicadawall/cicadawall/internal/httpstatus"
 )
 
 const (
@@ -148,7 +150,8 @@
 	return nil, ErrMismatchedAnswer
 }
 
-// readFinalAnswer reads the head of the next answer, of at most maxHeadBytes, and skips interim (1xx) responses.
+// readFinalAnswer reads the head of the next answer, of at most maxHeadBytes, and skips interim responses. A status that is not final is an
+// error: the bytes after it belong to no protocol that was asked for.
 func (x *exchange) readFinalAnswer(method string) (*http.Response, error) {
 	x.conn.limiter.start()
 	defer x.conn.limiter.stop()
@@ -157,9 +160,13 @@
 		if err != nil {
 			return nil, err
 		}
-		if answer.StatusCode >= http.StatusOK || answer.StatusCode == http.StatusSwitchingProtocols {
-			return answer, nil
+		if httpstatus.IsInterim(answer.StatusCode) {
+			continue
+		}
+		if err := httpstatus.CheckFinal(answer.StatusCode); err != nil {
+			return nil, err
 		}
+		return answer, nil
 	}
 }
 
--- a/internal/httpsend/sender.go
+++ b/internal/httpsend/sender.go
@@ -11,6 +11,8 @@
 	"net/http"
 	"net/http/httptrace"
 	"time"
+
+	"github.com/cicadawall/cicadawall/internal/httpstatus"
 )
 
 const (
@@ -92,7 +94,7 @@
 // Close closes idle connections.
 func (s *Sender) Close() { s.transport.CloseIdleConnections() }
 
-// Do sends the request once. The error is always an *Error. The request's context bounds the call and the reading of the
+// Do sends the request once. The error is always an *Error; a response whose status is not final is one. The request's context bounds the call and the reading of the
 // response body.
 func (s *Sender) Do(request *http.Request) (*http.Response, error) {
 	attempt := &attempt{}
@@ -100,10 +102,13 @@
 	request = request.WithContext(httptrace.WithClientTrace(request.Context(), trace))
 	preventReplay(request)
 	response, err := s.transport.RoundTrip(request)
-	if err != nil {
-		return nil, &Error{Sent: attempt.sealAndCheckSent(), Cause: err}
+	if err == nil {
+		if err = httpstatus.CheckFinal(response.StatusCode); err == nil {
+			return response, nil
+		}
+		_ = response.Body.Close()
 	}
-	return response, nil
+	return nil, &Error{Sent: attempt.sealAndCheckSent(), Cause: err}
 }
 
 // RoundTrip implements http.RoundTripper; it is the same as Do.
--- a/internal/httpsend/sender_test.go
+++ b/internal/httpsend/sender_test.go
@@ -97,6 +97,24 @@
 	}
 }
 
+// Guards against a switch of protocols that nobody asked for being returned as an answer, whose body never ends.
+func TestSwitchOfProtocolsIsNoAnswer(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.WriteHeader(http.StatusSwitchingProtocols)
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	}))
+	defer server.Close()
+	response, err := New(Options{}).Do(post(t, t.Context(), server.URL, strings.NewReader("x")))
+	if err == nil {
+		_ = response.Body.Close()
+		t.Fatalf("response with status %d", response.StatusCode)
+	}
+	if !maybeSent(t, err) {
+		t.Errorf("reported as not sent: %v", err)
+	}
+}
+
 // Guards against reporting a request as possibly sent when its deadline passed while it waited for a free connection.
 func TestWaitForConnectionIsNotSent(t *testing.T) {
 	release := make(chan struct{})
--- a/internal/standin/modelserver/modelserver.go
+++ b/internal/standin/modelserver/modelserver.go
@@ -40,6 +40,8 @@
 	FaultCrash Fault = "crash"
 	// FaultMute executes the request and sends no answer until the caller closes the connection.
 	FaultMute Fault = "mute"
+	// FaultSwitch executes the request, answers with status 101, and sends nothing more until the caller closes the connection.
+	FaultSwitch Fault = "switch"
 )
 
 // Options configure a Server.
@@ -208,6 +210,12 @@
 		<-r.Context().Done()
 		s.recordDisconnect(execution)
 		common.CloseConnection()
+	case FaultSwitch:
+		w.WriteHeader(http.StatusSwitchingProtocols)
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+		s.recordDisconnect(execution)
+		common.CloseConnection()
 	case FaultForeign:
 		header.Set("Cicadawall-Request-Id", "another")
 	case FaultNone, FaultFull, FaultBackoff, FaultError, FaultBreak, FaultCrash, FaultUnsealed:
