Count crashes at the same moment if a part was never answered

Cause: crashes less than 200 ms apart counted as one, whatever they had in common, so that a group was one crash as evidence.

Change: a crash names the parts that no server is known to have answered, while the service answered others. For such a part the crashes of different processes count one by one with three fifths of the weight, so that the fifth holds it. Parts that were answered before, as in an outage, count as before.

--- a/internal/api/peer.gen.go
+++ b/internal/api/peer.gen.go
@@ -278,6 +278,9 @@
 	// BeforeAnswer Whether the backend server ended before it had begun to answer this request.
 	BeforeAnswer bool `json:"beforeAnswer,omitempty" yaml:"beforeAnswer,omitempty"`
 
+	// NeverAnswered Of these, the ones that no backend server is known to have answered before either, while the service answered others.
+	NeverAnswered []string `json:"neverAnswered,omitempty" yaml:"neverAnswered,omitempty"`
+
 	// Parts Shared parts of the prompt that no backend server has answered since.
 	Parts   []string `json:"parts,omitempty" yaml:"parts,omitempty"`
 	Request string   `json:"request" yaml:"request"`
--- a/internal/crashguard/attempt.go
+++ b/internal/crashguard/attempt.go
@@ -52,7 +52,8 @@
 	a.End()
 	if len(a.parts) > 0 {
 		a.table.Merge([]Crash{{
-			Service: a.service, Server: a.server, Request: a.request, Parts: a.parts, At: now, BeforeAnswer: beforeAnswer,
+			Service: a.service, Server: a.server, Request: a.request, Parts: a.parts, NeverAnswered: a.table.neverAnswered(a.service, a.parts),
+			At: now, BeforeAnswer: beforeAnswer,
 		}}, now)
 	}
 }
--- a/internal/crashguard/hold.go
+++ b/internal/crashguard/hold.go
@@ -19,11 +19,16 @@
 	crashWeight      = 5
 	earlyCrashWeight = 3
 	minWeight        = minCrashes * crashWeight
+	// jointCrashWeight is the largest weight of a crash within minCrashSpacing of another one, if the part was never answered. Five such crashes
+	// of different processes are needed: an outage of several servers that meets three requests with a new part is likely, one that meets it at
+	// five servers is not.
+	jointCrashWeight = 3
 	// minRequests and minServers are the numbers of different requests and server processes among them: a single request may crash servers by
 	// its own content, and a single server may be faulty.
 	minRequests = 2
 	minServers  = 2
-	// minCrashSpacing is the time by which separate crashes are apart. Servers that end at the same moment have another cause.
+	// minCrashSpacing is the time by which separate crashes are apart. Servers that end at the same moment mostly have another cause, unless all of
+	// them worked on a part that was never answered.
 	minCrashSpacing = 200 * time.Millisecond
 	// minRestartTime is the time in which crashes of the same process count once. It takes longer to start again, but several requests
 	// that it worked on may be reported at different times by instances that are slow.
@@ -44,7 +49,10 @@
 	Request string
 	// Parts are the parts of the prompt that other requests may share and that no server has answered since.
 	Parts []string
-	At    time.Time
+	// NeverAnswered are those of the parts that no server is known to have answered before the crash either, although the service answered
+	// requests with other parts. It is empty if nothing is known of answers, as after a start.
+	NeverAnswered []string
+	At            time.Time
 	// BeforeAnswer is set if the server had not begun to answer this request.
 	BeforeAnswer bool
 }
@@ -98,7 +106,7 @@
 // order, so that all instances decide alike.
 func strongestEvidence(crashes []Crash) (part string, strongest evidence) {
 	for _, candidate := range distinctParts(crashes) {
-		if e := separateCrashes(crashesWith(crashes, candidate)); e.weight > strongest.weight {
+		if e := separateCrashes(crashesWith(crashes, candidate), candidate); e.weight > strongest.weight {
 			part, strongest = candidate, e
 		}
 	}
@@ -126,36 +134,49 @@
 	return with
 }
 
-// separateCrashes counts the crashes that are minCrashSpacing apart, and minRestartTime if they are of the same process; the crashes are
-// ordered by time. Each has the largest weight of those that belong to it. The result is zero if they come from fewer than minRequests
-// requests or minServers processes.
-func separateCrashes(crashes []Crash) evidence {
-	requests, lastOfServer := map[string]bool{}, map[string]int{}
-	var starts []time.Time
-	var weights []int
+// separateCrashes counts the crashes with a part that are minCrashSpacing apart, and minRestartTime if they are of the same process; the crashes are
+// ordered by time. Each has the largest weight of those that belong to it. Crashes of other processes in between count with at most
+// jointCrashWeight if the part was never answered, and otherwise belong to the one before. The result is zero if they come from fewer than
+// minRequests requests or minServers processes.
+func separateCrashes(crashes []Crash, part string) evidence {
+	requests, ofServer := map[string]bool{}, map[string]int{}
+	var counted []countedCrash
+	var lastSeparate time.Time
 	for _, crash := range crashes {
 		requests[crash.Request] = true
-		separate, again := lastOfServer[crash.Server]
-		if !again || crash.At.Sub(starts[separate]) >= minRestartTime {
-			separate = len(starts) - 1
-			if separate < 0 || crash.At.Sub(starts[separate]) >= minCrashSpacing {
-				starts, weights = append(starts, crash.At), append(weights, 0)
-				separate++
-				lastOfServer[crash.Server] = separate
+		i, again := ofServer[crash.Server]
+		if !again || crash.At.Sub(counted[i].at) >= minRestartTime {
+			i = len(counted) - 1
+			switch {
+			case i < 0 || crash.At.Sub(lastSeparate) >= minCrashSpacing:
+				lastSeparate = crash.At
+				counted = append(counted, countedCrash{at: crash.At, maxWeight: crashWeight})
+				i++
+				ofServer[crash.Server] = i
+			case slices.Contains(crash.NeverAnswered, part):
+				counted = append(counted, countedCrash{at: crash.At, maxWeight: jointCrashWeight})
+				i++
+				ofServer[crash.Server] = i
 			}
 		}
-		weights[separate] = max(weights[separate], crash.weight())
+		counted[i].weight = max(counted[i].weight, min(counted[i].maxWeight, crash.weight()))
 	}
-	if len(requests) < minRequests || len(lastOfServer) < minServers {
+	if len(requests) < minRequests || len(ofServer) < minServers {
 		return evidence{}
 	}
-	result := evidence{crashes: len(starts)}
-	for _, weight := range weights {
-		result.weight += weight
+	result := evidence{crashes: len(counted)}
+	for _, c := range counted {
+		result.weight += c.weight
 	}
 	return result
 }
 
+// countedCrash is the end of one or more server processes that counts once.
+type countedCrash struct {
+	at                time.Time
+	weight, maxWeight int
+}
+
 // commonParts returns the parts that all crashes have.
 func commonParts(crashes []Crash) []string {
 	common := slices.Clone(crashes[0].Parts)
--- a/internal/crashguard/hold_test.go
+++ b/internal/crashguard/hold_test.go
@@ -102,3 +102,52 @@
 		t.Errorf("with a request that waited at one of the servers: %+v, want a hold after 3 crashes", found)
 	}
 }
+
+// neverAnswered returns the crashes with the part marked as one that no server ever answered.
+func neverAnswered(part string, crashes ...Crash) []Crash {
+	for i := range crashes {
+		crashes[i].NeverAnswered = []string{part}
+	}
+	return crashes
+}
+
+// Guards against servers that a part ends at the same moment counting as one crash, against an outage that holds sound parts, and against too
+// little evidence: the fifth crash is enough, the fourth is not.
+func TestJointCrashes(t *testing.T) {
+	group := func(count int, requests ...string) []Crash {
+		var crashes []Crash
+		for n := range count {
+			crashes = append(crashes, crashAt(10*n, requests[n%len(requests)], "book", "bad"))
+		}
+		return crashes
+	}
+	sameServer := group(8, "a", "b")
+	for i := range sameServer {
+		sameServer[i].Server = "server-" + strconv.Itoa(i%4)
+	}
+	early := group(5, "a", "b")
+	for i := range early {
+		early[i].BeforeAnswer = true
+	}
+	for name, c := range map[string]struct {
+		crashes []Crash
+		want    [][]string
+	}{
+		"five servers":               {neverAnswered("bad", group(5, "a", "b")...), [][]string{{"bad", "book"}}},
+		"five servers, no answers":   {neverAnswered("bad", early...), [][]string{{"bad", "book"}}},
+		"four servers":               {neverAnswered("bad", group(4, "a", "b")...), nil},
+		"four servers, twice each":   {neverAnswered("bad", sameServer...), nil},
+		"a single request":           {neverAnswered("bad", group(8, "a")...), nil},
+		"answered before":            {group(8, "a", "b"), nil},
+		"never answered in one":      {append(group(4, "a", "b"), neverAnswered("bad", crashAt(50, "c", "bad"))...), nil},
+		"four servers and one later": {append(neverAnswered("bad", group(4, "a", "b")...), crashAt(5000, "c", "book", "bad")), [][]string{{"bad", "book"}}},
+	} {
+		var got [][]string
+		for _, hold := range holds("desk", c.crashes) {
+			got = append(got, hold.Parts)
+		}
+		if diff := cmp.Diff(c.want, got); diff != "" {
+			t.Errorf("%s: %s", name, diff)
+		}
+	}
+}
--- a/internal/crashguard/table.go
+++ b/internal/crashguard/table.go
@@ -177,7 +177,9 @@
 	changed := false
 	for key, crash := range t.crashes {
 		if crash.Service == service && crash.At.Before(answeredAt) && slices.Contains(crash.Parts, part) {
-			crash.Parts = slices.DeleteFunc(slices.Clone(crash.Parts), func(p string) bool { return p == part })
+			isPart := func(p string) bool { return p == part }
+			crash.Parts = slices.DeleteFunc(slices.Clone(crash.Parts), isPart)
+			crash.NeverAnswered = slices.DeleteFunc(slices.Clone(crash.NeverAnswered), isPart)
 			t.crashes[key] = crash
 			changed = true
 		}
@@ -185,6 +187,33 @@
 	return changed
 }
 
+// neverAnswered returns the parts that no server has answered as far as this instance knows. It returns none if it knows of no answer of the
+// service: then it cannot tell harmful parts from sound ones.
+func (t *Table) neverAnswered(service string, parts []string) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	ofService := func(key partKey) bool { return key.service == service }
+	if !containsKey(t.answered, ofService) && !containsKey(t.answeredBefore, ofService) {
+		return nil
+	}
+	return slices.DeleteFunc(slices.Clone(parts), func(part string) bool { return t.everAnswered(service, part) })
+}
+
+// containsKey reports whether some key of the map satisfies the condition.
+func containsKey(times map[partKey]time.Time, satisfies func(partKey) bool) bool {
+	for key := range times {
+		if satisfies(key) {
+			return true
+		}
+	}
+	return false
+}
+
+// everAnswered reports whether an answer to a request with the part is remembered. The caller holds the lock.
+func (t *Table) everAnswered(service, part string) bool {
+	return t.answeredSince(service, part, time.Time{})
+}
+
 // answeredSince reports whether a part was answered after a time. The caller holds the lock.
 func (t *Table) answeredSince(service, part string, since time.Time) bool {
 	key := partKey{service, part}
@@ -212,17 +241,22 @@
 	}
 	key := crashKey{crash.Service, crash.Server, crash.Request}
 	known, ok := t.crashes[key]
+	reported := crash.NeverAnswered
 	crash.Parts = slices.Clone(crash.Parts[:min(len(crash.Parts), maxParts)])
 	slices.Sort(crash.Parts)
 	crash.Parts = slices.DeleteFunc(slices.Compact(crash.Parts), func(part string) bool {
 		return ok && !slices.Contains(known.Parts, part) || len(part) > maxPartBytes || t.answeredSince(crash.Service, part, crash.At)
 	})
+	crash.NeverAnswered = slices.DeleteFunc(slices.Clone(crash.Parts), func(part string) bool {
+		return !slices.Contains(reported, part) || ok && !slices.Contains(known.NeverAnswered, part) || t.everAnswered(crash.Service, part)
+	})
 	if ok && known.At.Before(crash.At) {
 		crash.At = known.At
 	}
 	crash.BeforeAnswer = crash.BeforeAnswer && (!ok || known.BeforeAnswer)
 	t.crashes[key] = crash
-	return !ok || known.BeforeAnswer != crash.BeforeAnswer || len(known.Parts) != len(crash.Parts) || !known.At.Equal(crash.At)
+	return !ok || known.BeforeAnswer != crash.BeforeAnswer || len(known.Parts) != len(crash.Parts) ||
+		len(known.NeverAnswered) != len(crash.NeverAnswered) || !known.At.Equal(crash.At)
 }
 
 // finishChange derives the holds again if the crashes changed, releases the lock, cancels the waiting attempts that are held now, and logs
@@ -296,7 +330,9 @@
 	digest := int64(0)
 	for _, crash := range t.crashes {
 		hash := fnv.New64a()
-		for _, text := range append([]string{crash.Service, crash.Server, crash.Request, strconv.FormatBool(crash.BeforeAnswer)}, crash.Parts...) {
+		texts := append([]string{crash.Service, crash.Server, crash.Request, strconv.FormatBool(crash.BeforeAnswer)}, crash.Parts...)
+		// The empty text separates the two lists.
+		for _, text := range append(append(texts, ""), crash.NeverAnswered...) {
 			_, _ = hash.Write([]byte(text))
 			_, _ = hash.Write([]byte{0})
 		}
--- a/internal/crashguard/table_test.go
+++ b/internal/crashguard/table_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
 	"pgregory.net/rapid"
 
 	"github.com/cicadawall/cicadawall/internal/backend"
@@ -136,6 +137,7 @@
 		crash := rapid.Custom(func(t *rapid.T) Crash {
 			c := crashAt(rapid.IntRange(0, 5).Draw(t, "time")*300, strconv.Itoa(rapid.IntRange(0, 3).Draw(t, "request")),
 				rapid.SliceOfNDistinct(part, 0, 3, rapid.ID[string]).Draw(t, "parts")...)
+			c.NeverAnswered = rapid.SliceOfNDistinct(part, 0, 3, rapid.ID[string]).Draw(t, "never answered")
 			c.Server = "s" + strconv.Itoa(rapid.IntRange(0, 4).Draw(t, "server"))
 			return c
 		})
@@ -178,3 +180,31 @@
 		}
 	}
 }
+
+// Guards against a part that counts as never answered although a server answered it, before the crash or as a peer knows, and against such a
+// claim of an instance that knows of no answers.
+func TestNeverAnsweredParts(t *testing.T) {
+	now := time.Unix(1000, 0)
+	marked := func(table *Table) []string { return table.Crashes(time.Time{})[0].NeverAnswered }
+	for name, c := range map[string]struct {
+		answered []string
+		want     []string
+	}{
+		"service without answers": {nil, nil}, "another part was answered": {[]string{"book"}, []string{"bad"}}, "the part was answered": {[]string{"bad"}, nil},
+	} {
+		table := newTable(true)
+		if c.answered != nil {
+			table.Begin("desk", "s", "sound", promptOf(c.answered...), false, nil).Survived(now)
+		}
+		table.Begin("desk", "s", "r", promptOf("bad"), false, nil).Crashed(false, now.Add(time.Second))
+		if diff := cmp.Diff(c.want, marked(table), cmpopts.EquateEmpty()); diff != "" {
+			t.Errorf("%s: %s", name, diff)
+		}
+	}
+	knows := newTable(true)
+	knows.Begin("desk", "s", "sound", promptOf("bad"), false, nil).Survived(now)
+	knows.Merge([]Crash{{Service: "desk", Server: "s", Request: "r", Parts: []string{"bad"}, NeverAnswered: []string{"bad"}, At: now.Add(time.Second)}}, now.Add(time.Second))
+	if got := marked(knows); len(got) != 0 {
+		t.Errorf("an instance that knows an answer keeps the claim %v of a peer", got)
+	}
+}
--- a/internal/exchange/crashes.go
+++ b/internal/exchange/crashes.go
@@ -21,8 +21,8 @@
 	crashes := make([]crashguard.Crash, 0, len(reported))
 	for _, c := range reported {
 		crashes = append(crashes, crashguard.Crash{
-			Service: c.Service, Server: c.Server, Request: c.Request, Parts: c.Parts, At: now.Add(-time.Duration(c.AgeMillis) * time.Millisecond),
-			BeforeAnswer: c.BeforeAnswer,
+			Service: c.Service, Server: c.Server, Request: c.Request, Parts: c.Parts, NeverAnswered: c.NeverAnswered,
+			At: now.Add(-time.Duration(c.AgeMillis) * time.Millisecond), BeforeAnswer: c.BeforeAnswer,
 		})
 	}
 	e.Crashes.Merge(crashes, now)
@@ -33,7 +33,7 @@
 	var encoded []api.GatewayCrash
 	for _, crash := range crashes {
 		encoded = append(encoded, api.GatewayCrash{
-			Service: crash.Service, Server: crash.Server, Request: crash.Request, Parts: crash.Parts,
+			Service: crash.Service, Server: crash.Server, Request: crash.Request, Parts: crash.Parts, NeverAnswered: crash.NeverAnswered,
 			AgeMillis: max(0, now.Sub(crash.At).Milliseconds()), BeforeAnswer: crash.BeforeAnswer,
 		})
 	}
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -218,3 +219,70 @@
 		}
 	})
 }
+
+// Guards against requests with a harmful part that come in groups: servers that they end at the same moment must count as evidence (second review
+// case 10, BUDGET).
+func TestGroupsOfCrashingPromptsAreHeld(t *testing.T) {
+	const groups, groupSize, groupInterval, soundInterval = 4, 4, 5 * time.Second, 100 * time.Millisecond
+	for name, moment := range map[string]crashMoment{
+		"before the head": crashBeforeHead, "after the head": crashAfterHead, "after an event": crashAfterEvent,
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				backends := newCrashingBackends(moment)
+				g := newGateway(12, backends, slog.New(slog.NewJSONHandler(io.Discard, nil)))
+				defer g.Stop()
+				var requests sync.WaitGroup
+				for n := range groups * int(groupInterval/soundInterval) {
+					requests.Go(func() { sendPrompt(t.Context(), g, "sound-"+strconv.Itoa(n), "common", "document-"+strconv.Itoa(n%20)) })
+					if n%int(groupInterval/soundInterval) == 20 {
+						for m := range groupSize {
+							requests.Go(func() {
+								sendPrompt(t.Context(), g, "crashing-"+strconv.Itoa(n)+"-"+strconv.Itoa(m), "common", crashingPart)
+							})
+						}
+					}
+					<-time.After(soundInterval)
+				}
+				requests.Wait()
+				if len(backends.crashes) < crashEvidence {
+					t.Fatalf("%d servers ended, so that the test cannot detect a fault", len(backends.crashes))
+				}
+				if late := backends.lateCrashSends(); late > maxLateCrashRequests {
+					t.Errorf("%d requests reached servers late, %d servers ended", late, len(backends.crashes))
+				}
+			})
+		})
+	}
+}
+
+// Guards against a hold of sound requests after an outage that ends many servers at the same moment.
+func TestOutageHoldsNoSoundPrompt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		backends := newCrashingBackends(crashAfterHead)
+		g := newGateway(12, backends, slog.New(slog.NewJSONHandler(io.Discard, nil)))
+		defer g.Stop()
+		var requests sync.WaitGroup
+		var served atomic.Int64
+		for n := range 200 {
+			requests.Go(func() {
+				if caller := sendPrompt(t.Context(), g, strconv.Itoa(n), "common", "document-"+strconv.Itoa(n%20)); caller.text != "" && n >= 140 {
+					served.Add(1)
+				}
+			})
+			if n == 60 || n == 100 {
+				for server := range 10 {
+					backends.crash(strconv.Itoa(server))
+				}
+			}
+			<-time.After(50 * time.Millisecond)
+		}
+		requests.Wait()
+		if served.Load() < 54 {
+			t.Errorf("%d of 60 sound requests were served after the outages", served.Load())
+		}
+		if holds := g.Crashes.Holds(); len(holds) > 0 {
+			t.Errorf("held: %+v", holds)
+		}
+	})
+}
