Pass the list of servers on to an instance that has none

Callers saw: while the store refused all calls, instances that were killed and started one after the other answered 503 no_backend_server until the store was back.

Cause: an instance that the store does not answer left its list of servers out of its answers to peers, because the list may be old, although it serves by that list itself.

Instances with a list do not ask, so that an outage costs no more traffic.

--- a/internal/api/peer.gen.go
+++ b/internal/api/peer.gen.go
@@ -491,6 +491,9 @@
 
 	// Leaving Backend servers that said recently that they leave.
 	Leaving []GatewayLeaving `json:"leaving,omitempty" yaml:"leaving,omitempty"`
+
+	// WithoutServers Whether the sender has no list of backend servers, so that it asks also for one that may be old.
+	WithoutServers bool `json:"withoutServers,omitempty" yaml:"withoutServers,omitempty"`
 }
 
 // GatewayQueue State of the queue for workers.
@@ -602,11 +605,17 @@
 	// Servers Known backend servers, if requested.
 	Servers []GatewayServer `json:"servers,omitempty" yaml:"servers,omitempty"`
 
-	// ServersComplete Whether the list of backend servers is complete.
+	// ServersComplete Whether the list of backend servers is complete and the store answers the sender.
 	ServersComplete bool `json:"serversKnown,omitempty" yaml:"serversKnown,omitempty"`
 
 	// ServersRowVersion Highest row version of the servers' table that the sender has read.
 	ServersRowVersion int64 `json:"serversRow,omitempty" yaml:"serversRow,omitempty"`
+
+	// UnconfirmedServers Whether the list of backend servers is complete, but the store does not answer the sender, so that it may be old.
+	UnconfirmedServers bool `json:"unconfirmedServers,omitempty" yaml:"unconfirmedServers,omitempty"`
+
+	// UnconfirmedServersRow Highest row version of the servers' table that an unconfirmed list includes.
+	UnconfirmedServersRow int64 `json:"unconfirmedServersRow,omitempty" yaml:"unconfirmedServersRow,omitempty"`
 }
 
 // GatewayUsage Parallel arrays with one element for each backend server.
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -39,6 +39,9 @@
 	evidenceRounds = 2
 	// configurationTimeout is the timeout for fetching a configuration over a slow link: 1 MB takes 0.8 s at 10 Mbit/s.
 	configurationTimeout = 5 * time.Second
+	// confirmedListRounds is the number of rounds in which an instance that starts while the store does not answer it waits for the list of
+	// servers of a peer that the store answers.
+	confirmedListRounds = 3
 	// discoverRounds is the number of rounds between two pulls of the list of instances, which is long.
 	discoverRounds = 16
 	// peerExpiry is the time after which a peer that does not answer is removed.
@@ -231,7 +234,7 @@
 	storeUnavailable := e.StoreUnavailable(time.Now())
 	e.roundCount++
 	query := api.GatewayQuery{
-		From: e.Identity, Full: storeUnavailable, Discover: e.roundCount%discoverRounds == 0,
+		From: e.Identity, Full: storeUnavailable, WithoutServers: e.wantsUnconfirmedServers(), Discover: e.roundCount%discoverRounds == 0,
 		Crashes: e.recentCrashes(time.Now()), CrashDigest: e.Crashes.Digest(),
 		Leaving: e.leavingServers(time.Now()), Evacuations: e.knownEvacuations(time.Now()),
 	}
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -13,6 +13,8 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/google/go-cmp/cmp"
+
 	"github.com/cicadawall/cicadawall/internal/api"
 	"github.com/cicadawall/cicadawall/internal/backend"
 	"github.com/cicadawall/cicadawall/internal/crashguard"
@@ -265,3 +267,44 @@
 		}
 	})
 }
+
+// Guards against instances that start one after the other while the store answers nobody and get no list of servers, against such a list taking the
+// place of a newer one, and against a wait that ends before a peer with a confirmed list was asked.
+func TestUnconfirmedServersComeFromPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		entry := func(id string) backend.Entry {
+			return backend.Entry{ID: id, Service: "desk", Address: id + ":1", Software: "v1", Slots: 1}
+		}
+		first, second, third := n.add("first", true), n.add("second", true, "first"), n.add("third", true, "second")
+		first.Directory.Replace([]backend.Entry{entry("a")}, 0, time.Now())
+		for range confirmedListRounds {
+			round(t, second)
+			if second.Directory.Loaded() {
+				t.Fatal("an unconfirmed list was used at once")
+			}
+		}
+		for range confirmedListRounds + 1 {
+			round(t, second, third)
+		}
+		if len(second.Directory.Entries()) != 1 || len(third.Directory.Entries()) != 1 {
+			t.Fatalf("entries %+v, then %+v", second.Directory.Entries(), third.Directory.Entries())
+		}
+		first.Directory.Put(entry("b"), time.Now())
+		round(t, second)
+		if entries := second.Directory.Entries(); len(entries) != 1 {
+			t.Errorf("an unconfirmed list was merged into a known one: %+v", entries)
+		}
+		confirmed := n.add("confirmed", false)
+		confirmed.Directory.Replace([]backend.Entry{entry("c")}, 0, time.Now())
+		third.PutPeer(api.GatewayInstance{PeerAddress: "confirmed", Incarnation: "one"})
+		round(t, third)
+		leaving := map[string]bool{}
+		for _, e := range third.Directory.Entries() {
+			leaving[e.ID] = e.Leaving
+		}
+		if diff := cmp.Diff(map[string]bool{"a": true, "c": false}, leaving); diff != "" {
+			t.Errorf("after a confirmed list: %s", diff)
+		}
+	})
+}
--- a/internal/exchange/merge.go
+++ b/internal/exchange/merge.go
@@ -36,12 +36,27 @@
 	e.mergeCounts(state.Incarnation, state.Counts)
 	e.mergeCrashes(state.Crashes, now)
 	e.mergeLeaving(state.Leaving, now)
-	if useServers && state.ServersComplete && e.acceptServers(state.ServersRowVersion) {
+	if useServers && (state.ServersComplete && e.acceptServers(state.ServersRowVersion) ||
+		state.UnconfirmedServers && e.wantsUnconfirmedServers() && e.acceptServers(state.UnconfirmedServersRow)) {
 		e.mergeServers(state.Servers, now)
 	}
 	return lagging
 }
 
+// wantsUnconfirmedServers reports whether this instance should use a list of servers of a peer that the store does not answer either. The peer
+// itself serves by that list; without one, this instance could serve nobody. It first waits for a peer that the store answers.
+func (e *Exchange) wantsUnconfirmedServers() bool {
+	return !e.Directory.Loaded() && e.roundCount > confirmedListRounds
+}
+
+// serversRow returns the newest row of the servers table that this instance's list of servers includes.
+func (e *Exchange) serversRow() int64 {
+	newest := e.ServersFollower.NewestRow()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return max(newest, e.mergedServersRow)
+}
+
 // acceptServers reports whether a server list up to the row is at least as new as what this instance knows, and if so records the
 // row. An older list lacks servers that were added since, which would be treated as leaving.
 func (e *Exchange) acceptServers(row int64) bool {
--- a/internal/exchange/state.go
+++ b/internal/exchange/state.go
@@ -46,9 +46,14 @@
 			Versions: encodeVersions(view.Versions),
 		})
 	}
-	if query.Full && !e.StoreUnavailable(now) {
-		state.ServersComplete = e.Directory.Loaded()
-		state.Servers = e.knownServers(now)
+	storeUnavailable := e.StoreUnavailable(now)
+	switch {
+	case !query.Full || !e.Directory.Loaded():
+	case !storeUnavailable:
+		state.ServersComplete, state.Servers = true, e.knownServers(now)
+	case query.WithoutServers:
+		// Without that condition, all instances would send each other long lists throughout an outage of the store.
+		state.UnconfirmedServers, state.UnconfirmedServersRow, state.Servers = true, e.serversRow(), e.knownServers(now)
 	}
 	return state
 }
