Let a confirmed list of servers always replace an unconfirmed one

The row of an unconfirmed list could be newer than the newest row of a confirmed one, because rows of removed servers are not among the latter; the confirmed list would have been refused then. TestUnconfirmedServersComeFromPeers covers it.

--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -295,6 +295,8 @@
 		if entries := second.Directory.Entries(); len(entries) != 1 {
 			t.Errorf("an unconfirmed list was merged into a known one: %+v", entries)
 		}
+		// The rows of the confirmed list may be older, if those of removed servers are not among them.
+		third.unconfirmedServersRow = 7
 		confirmed := n.add("confirmed", false)
 		confirmed.Directory.Replace([]backend.Entry{entry("c")}, 0, time.Now())
 		third.PutPeer(api.GatewayInstance{PeerAddress: "confirmed", Incarnation: "one"})
--- a/internal/exchange/merge.go
+++ b/internal/exchange/merge.go
@@ -36,8 +36,7 @@
 	e.mergeCounts(state.Incarnation, state.Counts)
 	e.mergeCrashes(state.Crashes, now)
 	e.mergeLeaving(state.Leaving, now)
-	if useServers && (state.ServersComplete && e.acceptServers(state.ServersRowVersion) ||
-		state.UnconfirmedServers && e.wantsUnconfirmedServers() && e.acceptServers(state.UnconfirmedServersRow)) {
+	if useServers && (state.ServersComplete && e.acceptServers(state.ServersRowVersion) || e.acceptUnconfirmedServers(state)) {
 		e.mergeServers(state.Servers, now)
 	}
 	return lagging
@@ -49,12 +48,24 @@
 	return !e.Directory.Loaded() && e.roundCount > confirmedListRounds
 }
 
+// acceptUnconfirmedServers reports whether the list of servers of a peer that the store does not answer is used, and if so records its row. The row
+// does not count for acceptServers: the list of a peer that the store answers is always the better one.
+func (e *Exchange) acceptUnconfirmedServers(state api.GatewayState) bool {
+	if !state.UnconfirmedServers || !e.wantsUnconfirmedServers() {
+		return false
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.unconfirmedServersRow = state.UnconfirmedServersRow
+	return true
+}
+
 // serversRow returns the newest row of the servers table that this instance's list of servers includes.
 func (e *Exchange) serversRow() int64 {
 	newest := e.ServersFollower.NewestRow()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return max(newest, e.mergedServersRow)
+	return max(newest, e.mergedServersRow, e.unconfirmedServersRow)
 }
 
 // acceptServers reports whether a server list up to the row is at least as new as what this instance knows, and if so records the
--- a/internal/httpsend/sender.go
+++ b/internal/httpsend/sender.go
@@ -94,8 +94,8 @@
 // Close closes idle connections.
 func (s *Sender) Close() { s.transport.CloseIdleConnections() }
 
-// Do sends the request once. The error is always an *Error; a response whose status is not final is one. The request's context bounds the call and the reading of the
-// response body.
+// Do sends the request once. The error is always an *Error; a response whose status is not final is one. The request's context bounds the
+// call and the reading of the response body.
 func (s *Sender) Do(request *http.Request) (*http.Response, error) {
 	attempt := &attempt{}
 	trace := &httptrace.ClientTrace{GotConn: attempt.gotConn}
