Begin the outage in a test only when all instances know each other

TestFleetRestartsInTurnWithoutStore began it at once. In 2 of 7 runs an instance had not been discovered by its peers yet, and nobody could reach it after its restart: it has no seeds in this test.

--- a/internal/e2e/fleet_outage_test.go
+++ b/internal/e2e/fleet_outage_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"slices"
+	"strings"
 	"testing"
 
 	"github.com/cicadawall/cicadawall/internal/standin/modelserver"
@@ -14,6 +16,10 @@
 // backend servers of their peers is not passed on.
 func TestFleetRestartsInTurnWithoutStore(t *testing.T) {
 	f := newFleet(t, 3)
+	for _, i := range f.instances {
+		// Without the store, an instance that starts is reached only by peers that knew it before.
+		eventually(t, startTimeout, i.name+" knows its peers", func() bool { return f.hasMetric(i, "cicadawall_instances 3") })
+	}
 	f.store.SetFault(rowstore.FaultBusy)
 	for _, i := range f.instances {
 		f.restart(i)
@@ -38,3 +44,14 @@
 		})
 	}
 }
+
+// hasMetric reports whether the instance exports the line.
+func (f *fleet) hasMetric(i *fleetInstance, line string) bool {
+	response, err := i.client.Get("http://" + i.controlAddress + "/metrics")
+	if err != nil {
+		return false
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	return err == nil && slices.Contains(strings.Split(string(text), "\n"), line)
+}
