--- a/internal/exchange/merge.go
+++ b/internal/exchange/merge.go
@@ -36,7 +36,7 @@
 	e.mergeCounts(state.Incarnation, state.Counts)
 	e.mergeCrashes(state.Crashes, now)
 	e.mergeLeaving(state.Leaving, now)
-	if useServers && (state.ServersComplete && e.acceptServers(state.ServersRowVersion) || e.acceptUnconfirmedServers(state)) {
+	if useServers && (state.ServersComplete && e.acceptServers(state.ServersRowVersion) || e.acceptUnconfirmedServers(address, state)) {
 		e.mergeServers(state.Servers, now)
 	}
 	return lagging
@@ -50,10 +50,12 @@
 
 // acceptUnconfirmedServers reports whether the list of servers of a peer that the store does not answer is used, and if so records its row. The row
 // does not count for acceptServers: the list of a peer that the store answers is always the better one.
-func (e *Exchange) acceptUnconfirmedServers(state api.GatewayState) bool {
+func (e *Exchange) acceptUnconfirmedServers(address string, state api.GatewayState) bool {
 	if !state.UnconfirmedServers || !e.wantsUnconfirmedServers() {
 		return false
 	}
+	e.Log.Warn("backend server list taken from a peer that the store does not answer", "peer", address, "servers", len(state.Servers),
+		"row_version", state.UnconfirmedServersRow)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.unconfirmedServersRow = state.UnconfirmedServersRow
