Take only one unconfirmed list of servers

Peers are asked at the same time. If the lists of two of them were taken in one round, servers that only one names counted as leaving, because the directory is empty until the first is merged.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -87,8 +87,9 @@
 	peers map[string]api.GatewayInstance
 	// mergedServersRow is the newest row of the servers table that a server list merged from a peer includes.
 	mergedServersRow int64
-	// unconfirmedServersRow is the same for a list of a peer that the store did not answer; zero if no such list was merged.
-	unconfirmedServersRow int64
+	// unconfirmedServersRow is the same for a list of a peer that the store did not answer, if one was taken.
+	unconfirmedServersRow   int64
+	unconfirmedServersTaken bool
 	// lostSince holds, by address, the time of the first failed pull from a peer that has not answered since.
 	lostSince map[string]time.Time
 	// peakInstances is the largest number of instances known at once. Limits are divided by it, so that an isolated instance does
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -310,3 +310,25 @@
 		}
 	})
 }
+
+// Guards against the lists of two peers that are taken in one round: servers that only one of them names would count as leaving.
+func TestOneUnconfirmedListIsTaken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		late := n.add("late", true, "one", "two")
+		for name, ids := range map[string][]string{"one": {"a", "b"}, "two": {"b", "c"}} {
+			var entries []backend.Entry
+			for _, id := range ids {
+				entries = append(entries, backend.Entry{ID: id, Service: "desk", Address: id + ":1", Software: "v1", Slots: 1})
+			}
+			n.add(name, true).Directory.Replace(entries, 0, time.Now())
+		}
+		for range confirmedListRounds + 1 {
+			round(t, late)
+		}
+		entries := late.Directory.Entries()
+		if len(entries) != 2 || entries[0].Leaving || entries[1].Leaving {
+			t.Errorf("entries %+v", entries)
+		}
+	})
+}
--- a/internal/exchange/merge.go
+++ b/internal/exchange/merge.go
@@ -49,17 +49,23 @@
 }
 
 // acceptUnconfirmedServers reports whether the list of servers of a peer that the store does not answer is used, and if so records its row. The row
-// does not count for acceptServers: the list of a peer that the store answers is always the better one.
+// does not count for acceptServers: the list of a peer that the store answers is always the better one. Only one such list is used: peers are
+// asked at the same time, and servers that are missing from a second list would count as leaving.
 func (e *Exchange) acceptUnconfirmedServers(address string, state api.GatewayState) bool {
 	if !state.UnconfirmedServers || !e.wantsUnconfirmedServers() {
 		return false
 	}
-	e.Log.Warn("backend server list taken from a peer that the store does not answer", "peer", address, "servers", len(state.Servers),
-		"row_version", state.UnconfirmedServersRow)
 	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.unconfirmedServersRow = state.UnconfirmedServersRow
-	return true
+	first := !e.unconfirmedServersTaken
+	if first {
+		e.unconfirmedServersTaken, e.unconfirmedServersRow = true, state.UnconfirmedServersRow
+	}
+	e.mu.Unlock()
+	if first {
+		e.Log.Warn("backend server list taken from a peer that the store does not answer", "peer", address, "servers", len(state.Servers),
+			"row_version", state.UnconfirmedServersRow)
+	}
+	return first
 }
 
 // serversRow returns the newest row of the servers table that this instance's list of servers includes.
