Refuse unknown API keys on routes that need no key

Callers saw: on a route with AllowAnonymous, requests with a revoked key, or with one that never existed, ran without the name of an organisation.

Cause: a key was looked at only if the route needs one.

Requests without a key are served as before.

--- a/internal/e2e/fleet_keys_test.go
+++ b/internal/e2e/fleet_keys_test.go
@@ -117,3 +117,35 @@
 		t.Errorf("request on a route without models: %+v", got)
 	}
 }
+
+// Guards against requests with a key that no organisation has, such as a revoked one, that run on a route which needs no key: at an instance with
+// the manifest from the store, after a restart, and at one with the manifest of a peer.
+func TestFleetUnknownKeyOnRouteWithoutKeys(t *testing.T) {
+	f := newFleet(t, 2)
+	c := &keyCheck{f: f}
+	f.writeManifestWithOpenOrders("other")
+	check := func(i *fleetInstance, when string) {
+		t.Helper()
+		c.awaitStatus(i, when, fleetKey, http.StatusUnauthorized)
+		c.expect(i, when, "", http.StatusOK)
+		c.expect(i, when, "other", http.StatusOK)
+		c.expect(i, when, "forged", http.StatusUnauthorized)
+		c.expect(i, when, fleetKey, http.StatusUnauthorized)
+	}
+	fromStore, fromPeer := f.instances[0], f.instances[1]
+	check(fromStore, "with the manifest of the store")
+	f.restart(fromStore)
+	f.awaitReady(fromStore)
+	check(fromStore, "after a restart")
+	fromPeer.storeProxy.setState(linkReset)
+	f.restart(fromPeer)
+	check(fromPeer, "with the manifest of a peer")
+}
+
+// writeManifestWithOpenOrders writes a manifest whose route of orders needs no key, with one organisation that has the key.
+func (f *fleet) writeManifestWithOpenOrders(key string) {
+	manifest := f.nextManifest()
+	manifest.Organisations = nullable.NewNullableWithValue([]wire.ManifestTenant{{Name: "arena-north", ApiKeys: []string{key}}})
+	manifest.Routes[1].AllowAnonymous = true
+	f.store.Put("op", "config", f.encode(manifest))
+}
--- a/internal/gateway/configuration.go
+++ b/internal/gateway/configuration.go
@@ -53,7 +53,7 @@
 	Services      []WeightedService
 	// MaxAttempts is the largest number of attempts in which servers run one request.
 	MaxAttempts int
-	// AllowAnonymous is set if requests need no API key.
+	// AllowAnonymous is set if requests need no API key. A key that a request carries all the same must be known.
 	AllowAnonymous bool
 	// HasPrompt is set if requests carry a model and a prompt.
 	HasPrompt bool
@@ -189,6 +189,12 @@
 	return !c.AllowAnonymous && !route.AllowAnonymous
 }
 
+// refusesKey reports whether a request of the route is refused because of its key, which belongs to no organisation. A route that needs no key
+// serves requests without one, but not those with a key that was revoked or never existed.
+func (c *Configuration) refusesKey(route *Route, key string) bool {
+	return c.NeedsKey(route) || key != "" && !c.AllowAnonymous
+}
+
 // ConfigurationTable holds the configuration in force. Its version never decreases. It is safe for concurrent use.
 type ConfigurationTable struct {
 	mu      *lockorder.RWMutex
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -170,14 +170,14 @@
 }
 
 // authorize returns the route of a request and the organisation that its key belongs to, which is nil if the route needs no key and the request
-// has none that is known. The route is valid even if the request is refused.
+// has none. The route is valid even if the request is refused.
 func (c *Configuration) authorize(request *Request) (*Route, *Organisation, *fault.Error) {
 	route := c.Route(request.Host, request.Path)
 	if route == nil {
 		return &Route{}, nil, fault.NotRun(fault.StepDecode, fault.CodeUnknownService, "no route matches this host and path")
 	}
 	organisation := c.Organisation(request.Key)
-	if organisation == nil && c.NeedsKey(route) {
+	if organisation == nil && c.refusesKey(route, request.Key) {
 		return route, nil, fault.NotRun(fault.StepAuthenticate, fault.CodeUnauthenticated, "the API key is unknown")
 	}
 	if route.AllowsNoModel && (route.HasPrompt || request.Model != "") {
--- a/internal/gateway/permissions_test.go
+++ b/internal/gateway/permissions_test.go
@@ -28,3 +28,27 @@
 		}
 	}
 }
+
+// Guards against a route without mandatory keys that runs requests whose key belongs to no organisation, such as a revoked one.
+func TestUnknownKeyOnRouteWithoutKeys(t *testing.T) {
+	route := Route{Host: "h", PathPrefix: "/", AllowAnonymous: true}
+	organisations := []Organisation{{Name: "t", Keys: []string{"good"}}}
+	for _, c := range []struct {
+		configuration Configuration
+		key           string
+		refused       bool
+	}{
+		{configuration: Configuration{Organisations: organisations}},
+		{configuration: Configuration{Organisations: organisations}, key: "good"},
+		{configuration: Configuration{Organisations: organisations}, key: "revoked", refused: true},
+		{configuration: Configuration{}},
+		{configuration: Configuration{}, key: "revoked", refused: true},
+		{configuration: Configuration{AllowAnonymous: true}, key: "any"},
+	} {
+		c.configuration.Routes = []Route{route}
+		_, _, refusal := c.configuration.Compile().authorize(&Request{Host: "h", Path: "/x", Key: c.key})
+		if (refusal != nil) != c.refused || refusal != nil && refusal.Code != fault.CodeUnauthenticated {
+			t.Errorf("%d organisations, key %q: %v", len(c.configuration.Organisations), c.key, refusal)
+		}
+	}
+}
