Keep a manifest with a route of an unknown kind

Callers saw: a manifest that takes a key away and holds a route whose kind is missing or unknown was refused as a whole, so that the key stayed valid.

Cause: the decoder made the kind of one route a condition of the whole manifest.

Change: requests of such a route run at most once, which no kind forbids; the rest of the manifest is in force.

--- a/internal/e2e/fleet_keys_test.go
+++ b/internal/e2e/fleet_keys_test.go
@@ -149,3 +149,21 @@
 	manifest.Routes[1].AllowAnonymous = true
 	f.store.Put("op", "config", f.encode(manifest))
 }
+
+// Guards against a manifest with a route of an unknown kind that leaves keys valid which it takes away.
+func TestFleetRouteOfUnknownKind(t *testing.T) {
+	f := newFleet(t, 1)
+	c := &keyCheck{f: f}
+	i := f.instances[0]
+	c.expect(i, "before", fleetKey, http.StatusOK)
+	manifest := f.nextManifest()
+	manifest.Organisations = nullable.NewNullableWithValue([]wire.ManifestTenant{{Name: "arena-north", ApiKeys: []string{"other"}}})
+	manifest.Routes[2].Kind = "odd"
+	f.store.Put("op", "config", f.encode(manifest))
+	c.awaitStatus(i, "with a route of an unknown kind", fleetKey, http.StatusUnauthorized)
+	c.expectClosed(i, "with a route of an unknown kind")
+	c.expect(i, "with a route of an unknown kind", "other", http.StatusOK)
+	if got := f.sendWithKey(i, http.MethodGet, "/look/x", "odd", "other"); got.status != http.StatusOK || len(f.runsOf("odd")) != 1 {
+		t.Errorf("request on the route of an unknown kind: status %d, %d runs", got.status, len(f.runsOf("odd")))
+	}
+}
--- a/internal/gateway/configuration.go
+++ b/internal/gateway/configuration.go
@@ -36,6 +36,8 @@
 	Host       string
 	PathPrefix string
 	Kind       RouteKind
+	// UnknownKind is set if the declaration names no kind that is known. Kind is then the most cautious one.
+	UnknownKind bool
 	// Resumable is set if a stream may resume at another server after the last event that was delivered to the caller.
 	Resumable bool
 	// Timeout is the longest time until the answer is complete; zero means no limit.
