Let no field of a route grant more when it is missing

Callers saw: a route without a path prefix served every path of its host, one without a host the requests that name none, and a route that lists its models passed on requests for other models.

Cause: an empty prefix begins each path, an empty host equals a missing one, and the list of models was used only to choose a model.

Change: a route without host or prefix matches nothing; a model that the route does not list is refused with 403 before anything is sent.

Evidence: TestRouteWithoutHostOrPrefix (3 of 3 requests) and TestModelThatRouteDoesNotList failed on the code before and pass.

--- a/internal/gateway/configuration.go
+++ b/internal/gateway/configuration.go
@@ -66,6 +66,12 @@
 	return r.Kind == KindIdempotent || r.Kind == KindStream && r.Resumable
 }
 
+// mayAnswer reports whether the model that the request names, if any, is among those of the route. A route without models leaves the choice to
+// the caller.
+func (r *Route) mayAnswer(request *Request) bool {
+	return len(r.Models) == 0 || request.Model == "" || request.AnyModel || slices.Contains(r.Models, request.Model)
+}
+
 // Service is a group of backend servers.
 type Service struct {
 	Name string
@@ -144,6 +150,10 @@
 	c.keys = map[string]*Organisation{}
 	for i := range c.Routes {
 		route := &c.Routes[i]
+		if route.Host == "" || route.PathPrefix == "" {
+			// An empty prefix begins each path, and a request may name no host.
+			continue
+		}
 		host := strings.ToLower(route.Host)
 		c.hosts[host] = append(c.hosts[host], route)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -183,6 +183,9 @@
 	if route.AllowsNoModel && (route.HasPrompt || request.Model != "") {
 		return route, nil, fault.NotRun(fault.StepAdmit, fault.CodeNotAllowed, "the route allows no model")
 	}
+	if !route.mayAnswer(request) {
+		return route, nil, fault.NotRun(fault.StepAdmit, fault.CodeNotAllowed, "the route does not list the model")
+	}
 	return route, organisation, nil
 }
 
--- a/internal/gateway/permissions_test.go
+++ b/internal/gateway/permissions_test.go
@@ -52,3 +52,36 @@
 		}
 	}
 }
+
+// Guards against a route that names its models and passes on a request that names another one.
+func TestModelThatRouteDoesNotList(t *testing.T) {
+	for _, c := range []struct {
+		models   []string
+		model    string
+		anyModel bool
+		refused  bool
+	}{
+		{models: []string{"small", "large"}, model: "large"},
+		{models: []string{"small", "large"}, model: "*", anyModel: true},
+		{models: []string{"small", "large"}},
+		{models: []string{"small", "large"}, model: "other", refused: true},
+		{model: "other"},
+	} {
+		route := Route{Host: "h", PathPrefix: "/", HasPrompt: true, Models: c.models}
+		configuration := (&Configuration{AllowAnonymous: true, Routes: []Route{route}}).Compile()
+		_, _, refusal := configuration.authorize(&Request{Host: "h", Path: "/x", Model: c.model, AnyModel: c.anyModel})
+		if (refusal != nil) != c.refused || refusal != nil && refusal.Code != fault.CodeNotAllowed {
+			t.Errorf("models %v, request names %q: %v", c.models, c.model, refusal)
+		}
+	}
+}
+
+// Guards against a route without a host or path prefix that serves every path, or requests that name no host.
+func TestRouteWithoutHostOrPrefix(t *testing.T) {
+	configuration := (&Configuration{Routes: []Route{{Name: "no host", PathPrefix: "/"}, {Name: "no prefix", Host: "h"}}}).Compile()
+	for host, path := range map[string]string{"": "/x", "h": "/x", "H": "/"} {
+		if route := configuration.Route(host, path); route != nil {
+			t.Errorf("host %q, path %s: route %q", host, path, route.Name)
+		}
+	}
+}
