Test new versions under load before their end is decided

Cause: the exposure budget was spent by time, a few requests a second, so that the version never carried load while its answers still counted; and the test let the noise of one class hide the faults of another.

Change: after three quarters of the duration all requests without a session use the new version, on as few servers as can run them, until 0.35 of the budget and 0.8 of the slack are used, counted in requests. The likelihood of a tenth more bad answers is added up over all classes and delays the completion or rolls the version back.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -23,8 +23,8 @@
 		WorkWeight: r.service.workWeight(r.model)}
 }
 
-// chooseServer applies the routing policy. If no server is eligible it also considers, step by step, servers that were tried
-// before, ejected servers, and servers of another version.
+// chooseServer applies the routing policy. If no server is eligible it also considers, step by step, servers outside the load test of a version,
+// servers that were tried before, ejected servers, and servers of another version.
 func (r *requestJob) chooseServer(candidates []routing.Candidate, now time.Time) routing.Choice {
 	preference := r.versionPreference(now)
 	policy := r.policy(candidates, now)
@@ -40,7 +40,14 @@
 		policy.MarkPartition(candidates, request, from, to, now)
 		backend.MarkHomeServer(candidates, r.model, r.request.Prompt)
 	}
+	if preference.LoadTest > 0 {
+		request.OutsideLoadTest = routing.OutsideLoadTest(candidates, preference.Use, preference.LoadTest)
+	}
 	choice := r.applyPolicy(FallbackNone, policy, candidates, request, now)
+	if !choice.Found && len(request.OutsideLoadTest) > 0 {
+		request.OutsideLoadTest = nil
+		choice = r.applyPolicy(FallbackLoadTest, policy, candidates, request, now)
+	}
 	if !choice.Found && len(r.triedServers) > 0 {
 		request.Exclude = nil
 		choice = r.applyPolicy(FallbackTried, policy, candidates, request, now)
--- a/internal/gateway/decide.go
+++ b/internal/gateway/decide.go
@@ -14,10 +14,11 @@
 
 // The fallback steps, in their order.
 const (
-	FallbackNone    Fallback = ""
-	FallbackTried   Fallback = "servers of earlier attempts"
-	FallbackEjected Fallback = "ejected servers"
-	FallbackVersion Fallback = "servers of other versions"
+	FallbackNone     Fallback = ""
+	FallbackLoadTest Fallback = "servers outside the load test"
+	FallbackTried    Fallback = "servers of earlier attempts"
+	FallbackEjected  Fallback = "ejected servers"
+	FallbackVersion  Fallback = "servers of other versions"
 )
 
 // attemptDecision is the decision on the next attempt of a request.
--- a/internal/migration/decide.go
+++ b/internal/migration/decide.go
@@ -116,12 +116,14 @@
 		}
 		bad = bad || inClass.significant()
 	}
+	excess := excessBadAnswers(newByClass, oldByClass)
+	bad = bad || newCount.Bad > minBadAnswers && excess > excessBad
 	switch {
 	case bad || start.significant() || pace.significant() || lightlyLoaded && idleStart.significantUnderLightLoad():
 		return newCount, oldCount, findingBad
-	case tooFewAnswers(newByClass) || mayHaveMoreBadAnswers(newCount, oldCount):
+	case tooFewAnswers(newByClass) || mayHaveMoreBadAnswers(newCount, oldCount) || excess > excessInsufficient:
 		return newCount, oldCount, findingInsufficient
-	case start.uncertain() || pace.uncertain() || classUncertain(newByClass, oldByClass):
+	case start.uncertain() || pace.uncertain() || classUncertain(newByClass, oldByClass) || excess > excessUncertain:
 		return newCount, oldCount, findingUncertain
 	default:
 		return newCount, oldCount, findingNone
--- a/internal/migration/evidence.go
+++ b/internal/migration/evidence.go
@@ -54,6 +54,17 @@
 	// has at least mainClassFraction of the old versions' answers. A version may fail in one class only.
 	minClassAnswers   = 8
 	mainClassFraction = 0.2
+	// excessBadRate is the rate of additional bad answers that all classes together are tested for. A version that is bad under load fails
+	// about one request in ten at the load of a server in normal use.
+	excessBadRate = 0.1
+	// minOldBadRate is the smallest assumed rate of bad answers of the old versions. Some hundred answers without a bad one do not show
+	// that one bad answer of the new version is more than chance.
+	minOldBadRate = 0.01
+	// Bounds for the logarithm of the likelihood ratio of that test (excessBadAnswers). A version is bad from excessBad on, about 5,000 to 1.
+	// From excessInsufficient on (20 to 1) it does not complete before there is more evidence, from excessUncertain on not by its deadline.
+	excessBad          = 8.5
+	excessInsufficient = 3.0
+	excessUncertain    = -1.75
 	// minOldAnswers is the number of answers of the old versions below which a class is not compared.
 	minOldAnswers = 15
 )
@@ -229,3 +240,20 @@
 	c, _ := math.Lgamma(float64(n - k + 1))
 	return a - b - c
 }
+
+// excessBadAnswers returns the logarithm of how much likelier the answers of the new version are if excessBadRate of the answers that the old
+// versions would give well are bad, in each class, than if the new version is like the old ones. It adds up the classes, so that the chance in
+// a class with many bad answers does not hide a difference in another one.
+func excessBadAnswers(newByClass, oldByClass map[string]Count) float64 {
+	sum := 0.0
+	for class, count := range newByClass {
+		if !isRequestClass(class) {
+			continue
+		}
+		old := oldByClass[class]
+		// Half an answer is added to each outcome, so that a class without answers of the old versions says little.
+		rate := max(minOldBadRate, (float64(old.Bad)+0.5)/float64(old.Answers+1))
+		sum += float64(count.Bad)*math.Log(1+excessBadRate*(1-rate)/rate) + count.goodAnswers()*math.Log(1-excessBadRate)
+	}
+	return sum
+}
--- a/internal/migration/migration.go
+++ b/internal/migration/migration.go
@@ -43,14 +43,15 @@
 }
 
 // The fraction of sessions on the new version follows from the exposure budget: the fraction of all requests between an
-// order and its deadline that a bad version may receive. The faults of a version may show only under load, so the schedule
-// uses at most two thirds of the budget even if no bad answer is seen. The rest is reserved for a burst of requests before
-// the deadline.
+// order and its deadline that a bad version may receive. The faults of a version may show only under load, so the schedule for
+// sessions uses at most two thirds of the budget even if no bad answer is seen. The rest is reserved for a burst of requests
+// before the deadline. Requests without a session need no ramp; they spend that part and some of the reserve on the load test, which counts
+// requests, so that a burst ends it earlier.
 const (
-	// trialExposureFraction is the fraction of the exposure budget that is spent before the ramp.
-	trialExposureFraction = 0.15
-	// trialSlackFraction is the fraction of the exposure slack that is spent before the ramp.
-	trialSlackFraction = 2.0 / 3
+	// trialExposureFraction is the fraction of the exposure budget that is spent before the ramp. Requests without a session spend less, because
+	// the load test tells more of their version.
+	trialExposureFraction            = 0.15
+	sessionlessTrialExposureFraction = 0.1
 	// rampStartDistance, rampEndDistance and completionDistance are distances from the deadline, as multiples of the exposure
 	// times the duration. At the first the fraction starts to rise, at the second it is 1, and at the third the migration may
 	// complete. The last one leaves 0.8 s of a duration of 24 s at an exposure of 0.1: an order is received up to 0.3 s late, the
@@ -64,26 +65,27 @@
 	// sessionlessStartFraction is the fraction of the duration after which requests without a session start to move. Until then
 	// the new backend servers register at all instances.
 	sessionlessStartFraction = 0.04
+	// loadTestStartFraction is the fraction of the duration after which requests without a session test the new version under load: all of them
+	// use it until loadTestExposureFraction of the exposure budget and loadTestSlackFraction of the exposure slack are used. Faults that
+	// show only under load were missed by the trial, whose requests are spread over the duration. The answers must reach the deciding
+	// instances, which takes about a second, before the requests move for good.
+	loadTestStartFraction    = 0.75
+	loadTestExposureFraction = 0.35
+	loadTestSlackFraction    = 0.8
 )
 
 // schedule gives the fraction of the sessions on the new version. The exposure is between 0 and 1.
 type schedule struct{ exposure float64 }
 
-// trialProgress returns the time since the start of the trial of sessionless requests as a fraction of the time until the ramp starts, at
-// most 1.
-func (s schedule) trialProgress(elapsedFraction float64) float64 {
-	rampStart := 1 - rampStartDistance*s.exposure
-	return min(1, (elapsedFraction-sessionlessStartFraction)/(rampStart-sessionlessStartFraction))
-}
-
 // newVersionFraction returns the fraction of the sessions on the new version after a fraction of the order's duration.
 func (s schedule) newVersionFraction(elapsedFraction float64, sessionless bool) float64 {
-	start := trialStartFraction
+	rampStart, rampEnd := 1-rampStartDistance*s.exposure, 1-rampEndDistance*s.exposure
+	start, budget := trialStartFraction, trialExposureFraction
 	if sessionless {
-		start = sessionlessStartFraction
+		// The load test takes the place of the ramp.
+		start, budget, rampStart = sessionlessStartFraction, sessionlessTrialExposureFraction, rampEnd
 	}
-	rampStart, rampEnd := 1-rampStartDistance*s.exposure, 1-rampEndDistance*s.exposure
-	trial := trialExposureFraction * s.exposure / max(0.1, rampStart-start)
+	trial := budget * s.exposure / max(0.1, rampStart-start)
 	switch {
 	case elapsedFraction < start:
 		return 0
@@ -96,6 +98,11 @@
 	}
 }
 
+// mayTestLoad reports whether requests without a session may test the new version under load.
+func (s schedule) mayTestLoad(elapsedFraction float64) bool {
+	return elapsedFraction >= loadTestStartFraction
+}
+
 // mayComplete reports whether the migration may complete, after which the old version may be shut down.
 func (s schedule) mayComplete(elapsedFraction float64) bool {
 	return elapsedFraction >= 1-completionDistance*s.exposure
@@ -107,6 +114,9 @@
 	Use string
 	// Avoid is the version that serves the request only if no other version can; empty if there is none.
 	Avoid string
+	// LoadTest is the number of requests of the service that run at a time, if the request tests Use under load; zero if it does not. The
+	// requests of a load test go to as few servers as can run them.
+	LoadTest float64
 	// Withdrawn are the versions that must not serve the request, even if it fails for lack of another one.
 	Withdrawn []string
 }
--- a/internal/migration/table.go
+++ b/internal/migration/table.go
@@ -25,8 +25,8 @@
 	started time.Time
 	// suspect is set once this instance or a peer found the target bad. It takes effect before the rollback is recorded.
 	suspect bool
-	// slackUsed counts the sessionless requests that this instance sent to the target in addition to the schedule.
-	slackUsed int
+	// loadTestUsed counts the requests with which this instance has tested the target under load.
+	loadTestUsed int
 	// versions says which versions are withdrawn. The backend servers of a version that was rolled back keep running for some seconds.
 	versions versionRecords
 }
@@ -66,25 +66,13 @@
 	}
 }
 
-// SetSlack allows a version on trial a number of sessionless requests in addition to the schedule, which the instances share. A service
-// with few requests would otherwise give too few answers to tell a good version from a bad one by the deadline. While the number of
-// instances is 0, unknown, none are allowed. It must be called before the table is used.
+// SetSlack allows a load test a number of requests in addition to its part of the exposure budget, which the instances share. A service with
+// few requests would otherwise give too few answers to tell a good version from a bad one by the deadline. While the number of instances is
+// 0, unknown, none are allowed. It must be called before the table is used.
 func (t *Table) SetSlack(slack float64, instances func() int) {
 	t.slack, t.instances = slack, instances
 }
 
-// slackPerInstance returns this instance's part of the slack.
-func (t *Table) slackPerInstance() float64 {
-	if t.instances == nil {
-		return 0
-	}
-	instances := t.instances()
-	if instances < 1 {
-		return 0
-	}
-	return t.slack / float64(instances)
-}
-
 // AddOrder stores an order and reports whether it is new. Age is the time since it was given.
 func (t *Table) AddOrder(order Order, age time.Duration, now time.Time) bool {
 	t.mu.Lock()
@@ -184,19 +172,20 @@
 // Choose returns which versions may serve a request. Sessionless requests belong to no session; for them, session is a key
 // that distributes the requests over the versions.
 func (t *Table) Choose(service, session string, sessionless bool, now time.Time) Preference {
-	return t.choose(service, session, sessionless, now, (*serviceMigration).takeSlack)
+	return t.choose(service, session, sessionless, now, (*serviceMigration).useLoadTest)
 }
 
 // Preview returns what Choose would return, without counting the request.
 func (t *Table) Preview(service, session string, sessionless bool, now time.Time) Preference {
-	return t.choose(service, session, sessionless, now, (*serviceMigration).hasSlack)
+	return t.choose(service, session, sessionless, now, (*serviceMigration).hasLoadTest)
 }
 
-// choose returns which versions may serve a request. The function slackLeft decides whether the request may use the slack.
+// choose returns which versions may serve a request. The function testLeft decides whether the request may take part in a load test, of so many
+// requests in total.
 func (t *Table) choose(
-	service, session string, sessionless bool, now time.Time, slackLeft func(r *serviceMigration, allowed float64) bool,
+	service, session string, sessionless bool, now time.Time, testLeft func(r *serviceMigration, allowed float64) bool,
 ) Preference {
-	slack := t.slackPerInstance()
+	fleet := t.fleetShare()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r, ok := t.migrations[service]
@@ -216,9 +205,10 @@
 			preference.Withdrawn = append(preference.Withdrawn, target)
 		}
 	case state == StateCompleted ||
-		sessionPosition(service, target, session) < t.schedule.newVersionFraction(elapsedFraction, sessionless) ||
-		sessionless && slackLeft(r, slack*trialSlackFraction*t.schedule.trialProgress(elapsedFraction)):
+		sessionPosition(service, target, session) < t.schedule.newVersionFraction(elapsedFraction, sessionless):
 		preference.Use = target
+	case sessionless && t.schedule.mayTestLoad(elapsedFraction) && testLeft(r, t.loadTestRequests(r, fleet, elapsedFraction)):
+		preference.Use, preference.LoadTest = target, t.concurrency(r, fleet, now)
 	case elapsedFraction < trialStartFraction:
 		preference.Withdrawn = append(preference.Withdrawn, target)
 	default:
@@ -227,18 +217,6 @@
 	return preference
 }
 
-// takeSlack reports whether one more request may be sent to the target, if so many may be in total, and counts it.
-func (r *serviceMigration) takeSlack(allowed float64) bool {
-	if !r.hasSlack(allowed) {
-		return false
-	}
-	r.slackUsed++
-	return true
-}
-
-// hasSlack reports whether one more request may be sent to the target, if so many may be in total.
-func (r *serviceMigration) hasSlack(allowed float64) bool { return float64(r.slackUsed+1) <= allowed }
-
 // elapsedFraction returns the time since the order as a fraction of its duration. It is above 1 after the deadline.
 func (r *serviceMigration) elapsedFraction(now time.Time) float64 {
 	if r.order.Duration <= 0 {
--- a/internal/routing/gateway.go
+++ b/internal/routing/gateway.go
@@ -184,7 +184,8 @@
 // PlainPolicy chooses a server for a request without a prompt.
 func PlainPolicy() Policy {
 	return Policy{
-		Filters: []Filter{EvacuatedFilter{}, SoftwareVersionFilter{}, LeavingFilter{}, BackoffFilter{}, EjectedFilter{}, TriedFilter{}, InFlightLimitFilter{}, ColdFilter{}},
+		Filters: []Filter{EvacuatedFilter{}, SoftwareVersionFilter{}, LeavingFilter{}, BackoffFilter{}, EjectedFilter{}, TriedFilter{}, LoadTestFilter{},
+			InFlightLimitFilter{}, ColdFilter{}},
 		Scorers: []Scorer{ResponseTimeScorer{}, FailureScorer{}, ZoneScorer{}},
 		Picker:  LowestScore{},
 	}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -100,6 +100,9 @@
 	// Exclude lists the IDs of servers that earlier attempts of the same request used.
 	Exclude []string
 
+	// OutsideLoadTest lists the IDs of the servers that take no part in the load test to which the request belongs; see OutsideLoadTest.
+	OutsideLoadTest []string
+
 	// RequiredSoftware, if not empty, is the only software version allowed for the request.
 	RequiredSoftware string
 	// ExcludedSoftware lists the software versions that must not serve the request.
@@ -144,6 +147,7 @@
 	ReasonCold          Reason = "cold"
 	ReasonOtherSoftware Reason = "other software version"
 	ReasonInFlightLimit Reason = "share of connections in use"
+	ReasonLoadTest      Reason = "outside the load test of its version"
 )
 
 // Verdict explains why a candidate was dropped.
