Use the slack of the retry budget sooner at the first start of the fleet

Callers saw: for two windows (20 s) after the whole fleet had started for the first time, requests that failed at a server were repeated only within the ratio; lookups that fail by themselves at 14 in 100 were then not repeated on quiet services.

Cause: an instance waits two windows for what an earlier process may have spent; at the first start of the fleet there is none.

Change: with InitialBootstrap an instance uses its part of the slack after one window, in which the instances learn of each other.

Evidence: TestSharedBudgetAtTheFirstStart.

--- a/internal/retry/shared.go
+++ b/internal/retry/shared.go
@@ -9,8 +9,12 @@
 )
 
 // slackDelayWindows is the number of windows after its start for which an instance uses no slack. In the first one its earlier process may have
-// spent its part. In the second one peers that did not know of it yet may have spent larger parts.
-const slackDelayWindows = 2
+// spent its part. In the second one peers that did not know of it yet may have spent larger parts. When the whole fleet starts for the
+// first time there was no earlier process, and firstSlackDelayWindows is the time in which the instances learn of each other.
+const (
+	slackDelayWindows      = 2
+	firstSlackDelayWindows = 1
+)
 
 // SharedBudgetOptions configures a budget that all instances share.
 type SharedBudgetOptions struct {
@@ -22,8 +26,9 @@
 	Window time.Duration
 	// Instances returns the number of instances that share the slack; 0 means that it is unknown, and no slack is used.
 	Instances func() int
-	// Started is the start of the process.
-	Started time.Time
+	// Started is the start of the process, and FirstStart says that the whole fleet starts then for the first time.
+	Started    time.Time
+	FirstStart bool
 	// Log receives a line when the budget of a service is used up and when it is available again.
 	Log *slog.Logger
 }
@@ -161,7 +166,11 @@
 
 // slackPart returns the part of the slack that this instance may use.
 func (b *SharedBudget) slackPart(instances int, now time.Time) float64 {
-	if instances < 1 || now.Sub(b.options.Started) < slackDelayWindows*b.options.Window {
+	delayWindows := slackDelayWindows
+	if b.options.FirstStart {
+		delayWindows = firstSlackDelayWindows
+	}
+	if instances < 1 || now.Sub(b.options.Started) < time.Duration(delayWindows)*b.options.Window {
 		return 0
 	}
 	return b.options.Slack / float64(instances)
--- a/internal/retry/shared_fleet_test.go
+++ b/internal/retry/shared_fleet_test.go
@@ -49,9 +49,12 @@
 }
 
 // restart replaces the budget of an instance by that of a new process.
-func (f *fleetRun) restart(i int) {
+func (f *fleetRun) restart(i int) { f.startProcess(i, false) }
+
+// startProcess gives an instance the budget of a new process; first says that the fleet starts for the first time.
+func (f *fleetRun) startProcess(i int, first bool) {
 	f.budgets[i] = NewSharedBudget(SharedBudgetOptions{
-		Ratio: fleetBudget.Ratio, Slack: fleetBudget.Slack, Window: fleetBudget.Window, Started: f.now,
+		Ratio: fleetBudget.Ratio, Slack: fleetBudget.Slack, Window: fleetBudget.Window, Started: f.now, FirstStart: first,
 		Instances: func() int { return f.known }, Log: slog.New(slog.DiscardHandler),
 	})
 }
@@ -212,3 +215,43 @@
 		})
 	}
 }
+
+// Guards against a fleet that starts for the first time and exceeds the budget while its instances do not know each other, or that repeats nothing
+// beyond the ratio for as long as restarted instances, which must allow for what their earlier processes repeated.
+func TestSharedBudgetAtTheFirstStart(t *testing.T) {
+	f := newFleetRun(1)
+	for i := range f.budgets {
+		f.startProcess(i, true)
+	}
+	f.known = 1
+	repeats := 0
+	f.play(40*time.Second, func(tick int) {
+		if f.now.Sub(f.start) > fleetBudget.Window/2 {
+			f.known = fleetInstances
+		}
+		if f.now.Sub(f.start) == fleetBudget.Window {
+			repeats = len(f.repeats)
+		}
+		if tick%100 == 0 {
+			f.request(tick/100%fleetInstances, 3)
+		}
+		if tick == 300 {
+			// One instance dies and starts again, when its part of the slack has just been spent.
+			f.restart(0)
+		}
+		f.request(tick%fleetInstances, 3)
+	})
+	f.check(t)
+	if after := len(f.repeats) - repeats; repeats == 0 || after == 0 {
+		t.Errorf("%d repeats in the first window, %d after it", repeats, after)
+	}
+	alone := newFleetRun(1)
+	for first, want := range map[bool]bool{true: true, false: false} {
+		alone.now = alone.start
+		alone.startProcess(0, first)
+		alone.now = alone.now.Add(fleetBudget.Window)
+		if got := alone.budgets[0].Spend("desk", 1, alone.now); got != want {
+			t.Errorf("first start %t: a repeat by the slack is granted a window after the start: %t", first, got)
+		}
+	}
+}
