Admit requests by the congestion of plain services with few places

Cause: 83 instances before 18 places have less than one request at a server; none sees that every queue is full, so that each accepted request waits for nearly its whole target.

Change: the shortest of the last five response times, relative to the target, is the level of congestion of a service; above 0.45 an instance refuses a part of the requests at once, not run, with a spread Retry-After. On only where the servers have fewer slots together than there are instances.

--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -253,6 +253,19 @@
 	return candidates
 }
 
+// Slots returns the number of requests that the servers of a service run at a time, without those that leave.
+func (d *Directory) Slots(service string) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	slots := 0
+	for _, r := range d.rowsByService[service] {
+		if !r.entry.Leaving {
+			slots += r.entry.Slots
+		}
+	}
+	return slots
+}
+
 func (r *row) candidate(q *Query, now time.Time) routing.Candidate {
 	return routing.Candidate{
 		ID:            r.entry.ID,
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -60,6 +60,7 @@
 	CodeDeadlineExceeded        Code = "deadline_exceeded"
 	CodeDraining                Code = "draining"
 	CodeNoBackendServer         Code = "no_backend_server"
+	CodeOverloaded              Code = "overloaded"
 	CodeBackendServerFailed     Code = "backend_server_failed"
 	CodeStreamCut               Code = "stream_cut"
 	CodePromptHeld              Code = "prompt_held"
--- a/internal/gateway/configuration.go
+++ b/internal/gateway/configuration.go
@@ -136,6 +136,8 @@
 	hosts    map[string][]*Route
 	services map[string]*Service
 	keys     map[string]*Organisation
+	// mostUrgent holds, by service, the most urgent priority of its routes.
+	mostUrgent map[string]int
 }
 
 // SharesLoad reports whether the instances of a fleet of this size tell each other the load of the servers of some service.
@@ -163,6 +165,14 @@
 	for i := range c.Services {
 		c.services[c.Services[i].Name] = &c.Services[i]
 	}
+	c.mostUrgent = map[string]int{}
+	for i := range c.Routes {
+		for _, target := range c.Routes[i].Services {
+			if known, ok := c.mostUrgent[target.Service]; !ok || c.Routes[i].Priority < known {
+				c.mostUrgent[target.Service] = c.Routes[i].Priority
+			}
+		}
+	}
 	for i := range c.Organisations {
 		for _, key := range c.Organisations[i].Keys {
 			// A request without a key has an empty one.
@@ -192,6 +202,9 @@
 	return &Service{Name: name}
 }
 
+// mostUrgentPriority returns the most urgent priority of the routes of a service.
+func (c *Configuration) mostUrgentPriority(service string) int { return c.mostUrgent[service] }
+
 // Organisation returns the organisation that an API key belongs to, or nil.
 func (c *Configuration) Organisation(key string) *Organisation { return c.keys[key] }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"github.com/cicadawall/cicadawall/internal/admission"
 	"github.com/cicadawall/cicadawall/internal/backend"
 	"github.com/cicadawall/cicadawall/internal/coldstart"
+	"github.com/cicadawall/cicadawall/internal/congestion"
 	"github.com/cicadawall/cicadawall/internal/crashguard"
 	"github.com/cicadawall/cicadawall/internal/evacuation"
 	"github.com/cicadawall/cicadawall/internal/fault"
@@ -62,6 +63,7 @@
 	RetryBudget      *retry.SharedBudget
 	InstanceCount    func() int
 	Loads            *serverload.Table
+	Congestion       *congestion.Table
 	Metrics          *Metrics
 	Log              *slog.Logger
 }
@@ -166,7 +168,7 @@
 	if job.isHeld(request.Arrived) {
 		return job.finalRefusal()
 	}
-	return nil
+	return job.checkCongestion(request.Arrived)
 }
 
 // authorize returns the route of a request and the organisation that its key belongs to, which is nil if the route needs no key and the request
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -14,6 +14,7 @@
 	"github.com/cicadawall/cicadawall/internal/api"
 	"github.com/cicadawall/cicadawall/internal/backend"
 	"github.com/cicadawall/cicadawall/internal/coldstart"
+	"github.com/cicadawall/cicadawall/internal/congestion"
 	"github.com/cicadawall/cicadawall/internal/crashguard"
 	"github.com/cicadawall/cicadawall/internal/evacuation"
 	"github.com/cicadawall/cicadawall/internal/fault"
@@ -190,7 +191,7 @@
 		RetryBudget: retry.NewSharedBudget(retry.SharedBudgetOptions{
 			Ratio: 0.9, Slack: 20, Window: 10 * time.Second, Instances: func() int { return 1 }, Log: log,
 		}),
-		InstanceCount: func() int { return 1 }, Loads: serverload.NewTable("test", serverload.Options{}),
+		InstanceCount: func() int { return 1 }, Loads: serverload.NewTable("test", serverload.Options{}), Congestion: congestion.NewTable(),
 		Metrics: NewMetrics(telemetry.NewMetrics()), Log: log,
 	})
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -294,6 +294,8 @@
 	case reply.Backoff > 0 || reply.ServerLeaving:
 		// A server that leaves or asks for a backoff is not faulty.
 		result = backend.ResultNeutral
+	default:
+		r.observeRefusal(time.Now())
 	}
 	server.End(result, time.Now())
 	r.log("backend server refused the attempt without running it", "server", server.Entry.ID, "moved", reply.Verdict == VerdictMisdirected)
@@ -306,6 +308,7 @@
 	r.executions++
 	body, err := reply.Body.ReadAll(maxBufferedAnswerBytes)
 	server.End(backend.ResultFailure, time.Now())
+	r.observeResponse(time.Now())
 	r.observeVersion(server, "", true, 0)
 	r.log("backend server ran the request and reported a failure", "server", server.Entry.ID, "whole", err == nil)
 	if err != nil {
@@ -345,6 +348,7 @@
 		return r.retryOrFinish(false)
 	}
 	server.End(backend.ResultSuccess, time.Now())
+	r.observeResponse(time.Now())
 	r.recordSurvival()
 	r.observeVersion(server, "", false, r.answerStart.Sub(r.attemptStart))
 	r.recordDelivery(r.caller.Answer(reply, body))
--- a/internal/lockorder/order.go
+++ b/internal/lockorder/order.go
@@ -22,6 +22,7 @@
 	RankOrders         Rank = 60
 	RankBodies         Rank = 65
 	RankLimits         Rank = 70
+	RankCongestion     Rank = 75
 	RankQueue          Rank = 80
 	RankBills          Rank = 90
 	RankRetryBudgets   Rank = 100
--- a/internal/server/httperr/httperr.go
+++ b/internal/server/httperr/httperr.go
@@ -33,6 +33,7 @@
 	fault.CodeDeadlineExceeded:        http.StatusGatewayTimeout,
 	fault.CodeDraining:                http.StatusServiceUnavailable,
 	fault.CodeNoBackendServer:         http.StatusServiceUnavailable,
+	fault.CodeOverloaded:              http.StatusServiceUnavailable,
 	fault.CodeBackendServerFailed:     http.StatusBadGateway,
 	fault.CodeStreamCut:               http.StatusBadGateway,
 	fault.CodeIdempotencyKeyRequired:  http.StatusBadRequest,
