Show the congestion of services in a gauge, and let the soak send unknown keys

The soak sends requests with an unknown key, also on a route that needs none, beside a route of an unknown kind; they must never run.

--- a/internal/e2e/soak_test.go
+++ b/internal/e2e/soak_test.go
@@ -14,9 +14,12 @@
 	"testing"
 	"time"
 
+	"github.com/oapi-codegen/nullable"
+
 	"github.com/cicadawall/cicadawall/internal/standin/modelserver"
 	"github.com/cicadawall/cicadawall/internal/standin/retrycheck"
 	"github.com/cicadawall/cicadawall/internal/standin/rowstore"
+	"github.com/cicadawall/cicadawall/platform/wire"
 )
 
 const (
@@ -35,6 +38,12 @@
 	maxFaultInterval = 400 * time.Millisecond
 )
 
+// forgedPrefix begins the identifiers of requests with a key that no organisation has. One of forgedInterval requests is such a one.
+const (
+	forgedPrefix   = "forged-"
+	forgedInterval = 6
+)
+
 // soakBudget is a retry budget that a service which refuses its requests uses up within the time of a fault.
 var soakBudget = retrycheck.Budget{Ratio: 0.2, Slack: 30, Window: 3 * time.Second}
 
@@ -107,12 +116,15 @@
 		default:
 		}
 		kind := kinds[(caller+n)%len(kinds)]
-		id := fmt.Sprintf("%s-%d", strings.Trim(kind.path, "/x"), s.lastRequest.Add(1))
+		id, key := fmt.Sprintf("%s-%d", strings.Trim(kind.path, "/x"), s.lastRequest.Add(1)), fleetKey
+		if n%forgedInterval == forgedInterval-1 {
+			id, key = forgedPrefix+id, "forged"
+		}
 		sent := time.Now()
-		got := s.send(s.instances[(caller+n/4)%len(s.instances)], kind.method, kind.path, id)
+		got := s.sendWithKey(s.instances[(caller+n/4)%len(s.instances)], kind.method, kind.path, id, key)
 		s.mu.Lock()
 		s.replies[id] = got
-		if !errors.Is(got.err, syscall.ECONNREFUSED) {
+		if key == fleetKey && !errors.Is(got.err, syscall.ECONNREFUSED) {
 			s.sent[kind.service] = append(s.sent[kind.service], sent)
 		}
 		s.mu.Unlock()
@@ -168,7 +180,7 @@
 	case 6:
 		go s.restart(index, syscall.SIGTERM)
 	case 7:
-		s.writeManifest(fleetKey, "key-"+strconv.Itoa(int(duration)))
+		s.writeUnusualManifest(fleetKey, "key-"+strconv.Itoa(int(duration)))
 		s.store.DropHistory()
 		endFaultWith(func() {})
 	case 8:
@@ -186,6 +198,17 @@
 	}
 }
 
+// writeUnusualManifest writes a manifest with the keys, in which orders need no key and a further route is of a kind that no instance knows.
+func (s *soak) writeUnusualManifest(keys ...string) {
+	manifest := s.nextManifest()
+	manifest.Organisations = nullable.NewNullableWithValue([]wire.ManifestTenant{{Name: "arena-north", ApiKeys: keys}})
+	manifest.Routes[1].AllowAnonymous = true
+	unknown := manifest.Routes[2]
+	unknown.Name, unknown.PathPrefix, unknown.Kind = "odd", "/odd/", "odd"
+	manifest.Routes = append(manifest.Routes, unknown)
+	s.store.Put("op", "config", s.encode(manifest))
+}
+
 func (s *soak) setFaultOfService(service string, fault modelserver.Fault, times int) {
 	for _, server := range s.servers {
 		if server.service == service {
@@ -261,6 +284,12 @@
 	}
 	served := 0
 	for id, got := range s.replies {
+		if strings.HasPrefix(id, forgedPrefix) {
+			if runs[id] > 0 || got.status >= 200 && got.status < 300 {
+				s.t.Errorf("%s, with an unknown key, ran %d times and got status %d", id, runs[id], got.status)
+			}
+			continue
+		}
 		if strings.HasPrefix(id, "buy-") {
 			s.checkOrder(id, got, runs[id])
 		}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -5,13 +5,14 @@
 	"time"
 
 	"github.com/cicadawall/cicadawall/internal/api"
+	"github.com/cicadawall/cicadawall/internal/congestion"
 	"github.com/cicadawall/cicadawall/internal/fault"
 	"github.com/cicadawall/cicadawall/internal/retry"
 	"github.com/cicadawall/cicadawall/internal/telemetry"
 )
 
-// maxBudgetServices bounds the services whose retry budget has gauges of its own.
-const maxBudgetServices = 32
+// maxGaugedServices bounds the services that have gauges of their own.
+const maxGaugedServices = 32
 
 // Metrics counts requests by class and organisation.
 type Metrics struct{ telemetry *telemetry.Metrics }
@@ -39,9 +40,18 @@
 	}
 }
 
+// DeclareCongestion creates gauges of the congestion of the services of a configuration.
+func (m *Metrics) DeclareCongestion(c *Configuration, table *congestion.Table) {
+	for i := range c.Services[:min(maxGaugedServices, len(c.Services))] {
+		service := c.Services[i].Name
+		m.telemetry.RegisterGauge(fmt.Sprintf("cicadawall_service_congestion{service=%q}", service),
+			func() float64 { return table.Level(service, time.Now()) })
+	}
+}
+
 // DeclareBudgets creates gauges of the retry budget for the services of a configuration.
 func (m *Metrics) DeclareBudgets(c *Configuration, budget *retry.SharedBudget) {
-	for i := range c.Services[:min(maxBudgetServices, len(c.Services))] {
+	for i := range c.Services[:min(maxGaugedServices, len(c.Services))] {
 		service := c.Services[i].Name
 		usage := func() retry.Usage { return budget.Usage(service, time.Now()) }
 		m.telemetry.RegisterGauge(fmt.Sprintf("cicadawall_retry_budget_allowed{service=%q}", service), func() float64 { return usage().Allowed })
