Accept no peer if the peer port has no CA

Cause: crypto/tls verifies client certificates against the system's CAs if there is no pool. Settings refuse a peer certificate without a CA, so no deployment was open, but the zero value of the pool must refuse.

Change: without a CA the pool is empty.

Evidence: TestPeerPortWithoutCAAcceptsNobody failed before (a peer of a CA that the machine trusts was accepted) and passes.

--- a/internal/access/tls.go
+++ b/internal/access/tls.go
@@ -22,20 +22,25 @@
 	}
 }
 
-// PeerServerConfig returns the TLS configuration of the peer port. A peer must present a certificate signed by the CA. Each
-// handshake uses the certificate and CA that are current at that time. Session tickets are disabled, because a resumed session
+// PeerServerConfig returns the TLS configuration of the peer port. A peer must present a certificate signed by the CA; without a CA
+// none is accepted. Each handshake uses the certificate and CA that are current at that time. Session tickets are disabled, because a resumed session
 // would not verify the peer again.
 func PeerServerConfig(c *Certificates) *tls.Config {
 	return &tls.Config{
 		MinVersion: tls.VersionTLS13,
 		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
 			current := c.get()
+			peerCAs := current.peerCAs
+			if peerCAs == nil {
+				// Without a pool, crypto/tls would verify peers against the CAs that the machine trusts.
+				peerCAs = x509.NewCertPool()
+			}
 			return &tls.Config{
 				MinVersion:             tls.VersionTLS13,
 				NextProtos:             alpnProtocols,
 				Certificates:           []tls.Certificate{*current.certificate},
 				ClientAuth:             tls.RequireAndVerifyClientCert,
-				ClientCAs:              current.peerCAs,
+				ClientCAs:              peerCAs,
 				SessionTicketsDisabled: true,
 			}, nil
 		},
--- a/internal/access/tls_test.go
+++ b/internal/access/tls_test.go
@@ -214,3 +214,21 @@
 		t.Error("a certificate of the replaced CA is still accepted")
 	}
 }
+
+// Guards against a peer port without a CA that accepts the peers of every CA that the machine trusts.
+func TestPeerPortWithoutCAAcceptsNobody(t *testing.T) {
+	trusted := newTestCA(t)
+	b, files := trusted.issueCertificates(3)
+	t.Setenv("SSL_CERT_FILE", files.CA)
+	withoutCA, err := LoadCertificates(Files{Cert: files.Cert, Key: files.Key})
+	if err != nil {
+		t.Fatal(err)
+	}
+	client := PeerClientConfig(b)
+	if _, err := handshake(t, PeerServerConfig(withoutCA), client); err == nil {
+		t.Error("a peer of a CA that the machine trusts was accepted")
+	}
+	if _, err := handshake(t, PeerServerConfig(b), PeerClientConfig(withoutCA)); err == nil {
+		t.Error("a peer without a CA accepted a server")
+	}
+}
