Use no exposure slack for orders that are older than the process

Cause: each process may use its part of the slack, and forgets what the process before it used.

Change: a process that starts after an order uses no slack for it.

--- a/internal/gateway/explain_test.go
+++ b/internal/gateway/explain_test.go
@@ -98,7 +98,7 @@
 			At: now.Add(time.Duration(n)*time.Second - seconds(60, rng))}}, now)
 	}
 	versions := migration.NewTable(0.15)
-	versions.SetSlack(40, func() int { return instances })
+	versions.SetSlack(40, func() int { return instances }, time.Time{})
 	if oneIn(2, rng) {
 		versions.AddOrder(migration.Order{Service: "desk", Target: "v2", Duration: 20 * time.Second, Revision: 1}, seconds(25, rng), now)
 	}
--- a/internal/migration/completion_test.go
+++ b/internal/migration/completion_test.go
@@ -71,7 +71,7 @@
 	var tables []*Table
 	for range instances {
 		table := NewTable(exposure)
-		table.SetSlack(slack, func() int { return instances })
+		table.SetSlack(slack, func() int { return instances }, time.Time{})
 		table.AddOrder(order, 0, origin)
 		table.ApplyStatus(Status{Service: service, Target: "v2", State: StateRunning, Revision: 11})
 		tables = append(tables, table)
@@ -109,7 +109,7 @@
 	order := Order{Service: service, Target: "v2", Duration: 12 * time.Second, Revision: 10}
 	for _, instances := range []int{0, 1} {
 		table := NewTable(0)
-		table.SetSlack(30, func() int { return instances })
+		table.SetSlack(30, func() int { return instances }, time.Time{})
 		table.AddOrder(order, 0, origin)
 		exposed := 0
 		for n := range requests {
--- a/internal/migration/loadtest.go
+++ b/internal/migration/loadtest.go
@@ -31,7 +31,12 @@
 		}
 	}
 	expected := float64(answers) / elapsedFraction
-	return loadTestSlackFraction*fleet.slack + loadTestExposureFraction*t.schedule.exposure*expected
+	slack := loadTestSlackFraction * fleet.slack
+	if r.started.Before(t.processStart) {
+		// The process before this one may have used it.
+		slack = 0
+	}
+	return slack + loadTestExposureFraction*t.schedule.exposure*expected
 }
 
 // concurrency returns the number of requests of the service that run at a time at all instances together, as estimated from the answers of the old
--- a/internal/migration/loadtest_test.go
+++ b/internal/migration/loadtest_test.go
@@ -16,6 +16,8 @@
 	instances int
 	// loadFactor returns the rate at a fraction of the duration relative to perSecond.
 	loadFactor func(part float64) float64
+	// restartAt are the fractions of the duration at which all instances are restarted at once, and forget what they sent.
+	restartAt []float64
 	// badRate returns the rate of bad answers of the new version if it got so many requests in the last second.
 	badRate func(lastSecond int) float64
 }
@@ -37,18 +39,26 @@
 	rng := rand.New(rand.NewPCG(m.seed, 1))
 	order := Order{Service: service, Target: "v2", Duration: m.duration, Revision: 10}
 	tables := make([]*Table, m.instances)
-	for i := range tables {
-		tables[i] = NewTable(playedExposure)
-		tables[i].SetSlack(playedSlack, func() int { return m.instances })
-		tables[i].AddOrder(order, 0, origin)
-		tables[i].ApplyStatus(Status{Service: service, Target: "v2", State: StateRunning, Revision: 11})
+	start := func(at time.Duration) {
+		for i := range tables {
+			tables[i] = NewTable(playedExposure)
+			tables[i].SetSlack(playedSlack, func() int { return m.instances }, origin.Add(at))
+			tables[i].AddOrder(order, at, origin.Add(at))
+			tables[i].ApplyStatus(Status{Service: service, Target: "v2", State: StateRunning, Revision: 11})
+		}
 	}
+	start(0)
+	restarts := m.restartAt
 	var played result
 	var newVersionTimes []time.Duration
 	nextExchange := time.Duration(0)
 	for at := time.Duration(0); at < m.duration+time.Second && played.state == ""; {
 		at += time.Duration(float64(time.Second) / (float64(m.perSecond) * m.loadFactor(float64(at)/float64(m.duration))))
 		now := origin.Add(at)
+		if len(restarts) > 0 && at >= time.Duration(restarts[0]*float64(m.duration)) {
+			start(at)
+			restarts = restarts[1:]
+		}
 		table := tables[rng.IntN(m.instances)]
 		class, rate := "buy/", 0.004
 		if rng.IntN(3) == 0 {
@@ -148,3 +158,17 @@
 		}
 	}
 }
+
+// Guards against a load test that all instances begin again after a restart, so that a version gets the slack of the exposure budget twice.
+func TestLoadTestStaysWithinExposureAfterRestarts(t *testing.T) {
+	for _, restartAt := range [][]float64{{0.7}, {0.78}, {0.85}, {0.78, 0.82, 0.86, 0.9}} {
+		for seed := range uint64(10) {
+			m := plainMigration{seed: seed, perSecond: 26, duration: 16 * time.Second, instances: 6, loadFactor: steady, restartAt: restartAt, badRate: noExcess}
+			played := m.play()
+			if allowed := playedExposure*float64(played.allRequests) + playedSlack; float64(played.exposed) > allowed {
+				t.Errorf("restarts at %v, seed %d: %d of %d requests went to the new version, %.0f are allowed",
+					restartAt, seed, played.exposed, played.allRequests, allowed)
+			}
+		}
+	}
+}
--- a/internal/migration/table.go
+++ b/internal/migration/table.go
@@ -37,6 +37,8 @@
 	// slack is the number of requests that a bad version may receive in addition to the schedule, shared by the instances.
 	slack     float64
 	instances func() int
+	// processStart is the start of the process; zero if it is unknown.
+	processStart time.Time
 
 	mu          *lockorder.Mutex
 	migrations  map[string]*serviceMigration
@@ -68,9 +70,10 @@
 
 // SetSlack allows a load test a number of requests in addition to its part of the exposure budget, which the instances share. A service with
 // few requests would otherwise give too few answers to tell a good version from a bad one by the deadline. While the number of instances is
-// 0, unknown, none are allowed. It must be called before the table is used.
-func (t *Table) SetSlack(slack float64, instances func() int) {
-	t.slack, t.instances = slack, instances
+// 0, unknown, none are allowed. A process that starts after an order uses none for it, because the process before it may have used its part. It
+// must be called before the table is used.
+func (t *Table) SetSlack(slack float64, instances func() int, processStart time.Time) {
+	t.slack, t.instances, t.processStart = slack, instances, processStart
 }
 
 // AddOrder stores an order and reports whether it is new. Age is the time since it was given.
