Wait longer for evidence on a doubtful version

Callers saw: after all processes were killed during the load test of a version that is bad under load, it was completed three seconds after its deadline, 0.6 s before the evidence sufficed to roll it back.

Cause: doubt delayed the completion by three seconds at most, and a process that had started after the order asked for no more evidence, although the answers of the load test were lost.

Change: doubt delays by ten seconds; a process that started after the order asks for stronger evidence.

Evidence: TestVersionBadUnderLoadIsNotCompletedAfterRestarts failed before (20 of 200) and passes.

--- a/internal/migration/decide.go
+++ b/internal/migration/decide.go
@@ -55,7 +55,7 @@
 
 func (t *Table) decide(service string, r *serviceMigration, now time.Time) (Decision, bool) {
 	lightlyLoaded := !t.schedule.mayComplete(r.elapsedFraction(now))
-	newCount, oldCount, finding := t.compare(r.order, lightlyLoaded)
+	newCount, oldCount, finding := t.compare(r.order, lightlyLoaded, t.startedAfter(r))
 	if finding == findingBad {
 		r.suspect = true
 	}
@@ -67,8 +67,7 @@
 	switch {
 	case r.suspect:
 		decision.Status.State = StateRolledBack
-	case t.schedule.mayComplete(decision.ElapsedFraction) &&
-		(finding == findingNone || finding == findingUncertain && decision.OrderAge > r.order.Duration+uncertaintyGracePeriod):
+	case t.schedule.mayComplete(decision.ElapsedFraction) && finding.allowsCompletion(decision.OrderAge-r.order.Duration):
 		decision.Status.State = StateCompleted
 	case r.statusIsForOrder():
 		return Decision{}, false
@@ -78,8 +77,9 @@
 
 // compare sums the counts of all instances since the order and tests them in total and for each class. The start and the pace of answers
 // are tested apart. If the new version is lightly loaded, the starts of its streams are also compared with those on lightly loaded servers;
-// the times of plain answers differ for other reasons than waiting.
-func (t *Table) compare(order Order, lightlyLoaded bool) (newCount, oldCount Count, result finding) {
+// the times of plain answers differ for other reasons than waiting. If this process started after the order, answers given before are not known,
+// and more evidence is needed.
+func (t *Table) compare(order Order, lightlyLoaded, startedAfter bool) (newCount, oldCount Count, result finding) {
 	newByClass, oldByClass := map[string]Count{}, map[string]Count{}
 	add := func(counts map[Key]Count) {
 		for key, count := range counts {
@@ -116,14 +116,19 @@
 		}
 		bad = bad || inClass.significant()
 	}
-	excess := excessBadAnswers(newByClass, oldByClass)
+	excess, uncertain := excessBadAnswers(newByClass, oldByClass), excessUncertain
+	if startedAfter {
+		uncertain = excessUncertainAfterStart
+	}
 	bad = bad || newCount.Bad > minBadAnswers && excess > excessBad
 	switch {
 	case bad || start.significant() || pace.significant() || lightlyLoaded && idleStart.significantUnderLightLoad():
 		return newCount, oldCount, findingBad
 	case tooFewAnswers(newByClass) || mayHaveMoreBadAnswers(newCount, oldCount) || excess > excessInsufficient:
 		return newCount, oldCount, findingInsufficient
-	case start.uncertain() || pace.uncertain() || classUncertain(newByClass, oldByClass) || excess > excessUncertain:
+	case excess > uncertain:
+		return newCount, oldCount, findingDoubtful
+	case start.uncertain() || pace.uncertain() || classUncertain(newByClass, oldByClass):
 		return newCount, oldCount, findingUncertain
 	default:
 		return newCount, oldCount, findingNone
--- a/internal/migration/evidence.go
+++ b/internal/migration/evidence.go
@@ -42,6 +42,9 @@
 	// all sessions use the new version during this time. A missed deadline costs little, whereas a bad version must not receive
 	// requests later than 5 s after its 50th bad answer.
 	uncertaintyGracePeriod = 3 * time.Second
+	// doubtGracePeriod is the same if the bad answers are doubtful. All requests use the new version then, so that a service with a few requests a
+	// second has an answer to the doubt by the end; after 3 s a bad version was completed 0.6 s before it was found.
+	doubtGracePeriod = 10 * time.Second
 	// minLogVariance is the smallest assumed variance of a logarithm, so that equal times do not make a small shift
 	// significant.
 	minLogVariance = 0.05
@@ -61,10 +64,13 @@
 	// that one bad answer of the new version is more than chance.
 	minOldBadRate = 0.01
 	// Bounds for the logarithm of the likelihood ratio of that test (excessBadAnswers). A version is bad from excessBad on, about 5,000 to 1.
-	// From excessInsufficient on (20 to 1) it does not complete before there is more evidence, from excessUncertain on not by its deadline.
+	// From excessInsufficient on (20 to 1) it does not complete before there is more evidence, from excessUncertain on only after doubtGracePeriod.
 	excessBad          = 8.5
 	excessInsufficient = 3.0
 	excessUncertain    = -1.75
+	// excessUncertainAfterStart takes the place of excessUncertain in a process that started after the order: the answers of the load test are
+	// lost, and the few since then were given under less load.
+	excessUncertainAfterStart = -4.0
 	// minOldAnswers is the number of answers of the old versions below which a class is not compared.
 	minOldAnswers = 15
 )
@@ -74,14 +80,29 @@
 
 const (
 	findingNone finding = iota
-	// findingUncertain delays the completion for a limited time.
+	// findingUncertain and findingDoubtful delay the completion for a limited time.
 	findingUncertain
+	findingDoubtful
 	// findingInsufficient delays the completion until there is more evidence: after it the old version's servers stop, so that a bad
 	// version can no longer be rolled back.
 	findingInsufficient
 	findingBad
 )
 
+// allowsCompletion reports whether a migration with the finding may complete at a time after its deadline, which is negative before it.
+func (f finding) allowsCompletion(afterDeadline time.Duration) bool {
+	switch f {
+	case findingNone:
+		return true
+	case findingUncertain:
+		return afterDeadline > uncertaintyGracePeriod
+	case findingDoubtful:
+		return afterDeadline > doubtGracePeriod
+	default:
+		return false
+	}
+}
+
 // Count aggregates the answers of one version to requests of one class.
 type Count struct {
 	Answers int
--- a/internal/migration/loadtest.go
+++ b/internal/migration/loadtest.go
@@ -32,13 +32,16 @@
 	}
 	expected := float64(answers) / elapsedFraction
 	slack := loadTestSlackFraction * fleet.slack
-	if r.started.Before(t.processStart) {
+	if t.startedAfter(r) {
 		// The process before this one may have used it.
 		slack = 0
 	}
 	return slack + loadTestExposureFraction*t.schedule.exposure*expected
 }
 
+// startedAfter reports whether this process started after the order was given. The caller holds the lock.
+func (t *Table) startedAfter(r *serviceMigration) bool { return r.started.Before(t.processStart) }
+
 // concurrency returns the number of requests of the service that run at a time at all instances together, as estimated from the answers of the old
 // versions that this instance got since the order. The caller holds the lock.
 func (t *Table) concurrency(r *serviceMigration, fleet fleetShare, now time.Time) float64 {
--- a/internal/migration/loadtest_test.go
+++ b/internal/migration/loadtest_test.go
@@ -18,11 +18,13 @@
 	loadFactor func(part float64) float64
 	// restartAt are the fractions of the duration at which all instances are restarted at once, and forget what they sent.
 	restartAt []float64
+	// extraTime is the time after the deadline that is played, beside a second.
+	extraTime time.Duration
 	// badRate returns the rate of bad answers of the new version if it got so many requests in the last second.
 	badRate func(lastSecond int) float64
 }
 
-// result is what a migration came to by a second after its deadline.
+// result is what a migration came to.
 type result struct {
 	state       State
 	decidedAt   time.Duration
@@ -52,7 +54,7 @@
 	var played result
 	var newVersionTimes []time.Duration
 	nextExchange := time.Duration(0)
-	for at := time.Duration(0); at < m.duration+time.Second && played.state == ""; {
+	for at := time.Duration(0); at < m.duration+time.Second+m.extraTime && played.state == ""; {
 		at += time.Duration(float64(time.Second) / (float64(m.perSecond) * m.loadFactor(float64(at)/float64(m.duration))))
 		now := origin.Add(at)
 		if len(restarts) > 0 && at >= time.Duration(restarts[0]*float64(m.duration)) {
@@ -172,3 +174,21 @@
 		}
 	}
 }
+
+// Guards against a version that is bad under load and is completed because a restart of all instances in the load test lost the evidence.
+func TestVersionBadUnderLoadIsNotCompletedAfterRestarts(t *testing.T) {
+	const plays, tolerated = 200, 10
+	completed := 0
+	for seed := range uint64(plays) {
+		m := plainMigration{
+			seed: seed, perSecond: 26, duration: 16 * time.Second, instances: 6, loadFactor: steady, restartAt: []float64{0.78, 0.85}, badRate: badUnderLoad,
+			extraTime: 12 * time.Second,
+		}
+		if m.play().state == StateCompleted {
+			completed++
+		}
+	}
+	if completed > tolerated {
+		t.Errorf("%d of %d versions that are bad under load were completed", completed, plays)
+	}
+}
