Date the evidence for a prompt by the beginning of its answer

Cause: an answer that goes on for 250 ms is evidence for its prompt, dated when that was noticed, at the next event. Where events are slow, an answer begun before the part turned harmful counted as later than the first crashes.

Change: the evidence is dated when the server began the answer.

--- a/internal/crashguard/attempt.go
+++ b/internal/crashguard/attempt.go
@@ -39,11 +39,12 @@
 // the answer.
 func (a *Attempt) Begun() { a.End() }
 
-// Survived records that the answer is complete or went on for SurvivalTime after its first event.
-func (a *Attempt) Survived(now time.Time) {
+// Survived records that the answer that the server began at a time is complete or went on for SurvivalTime after its first event. It is evidence
+// for the parts as of its beginning: what turned harmful since does not affect it.
+func (a *Attempt) Survived(begun, now time.Time) {
 	a.End()
 	if len(a.parts) > 0 {
-		a.table.recordAnswer(a.service, a.parts, now)
+		a.table.recordAnswer(a.service, a.parts, begun, now)
 	}
 }
 
--- a/internal/crashguard/table.go
+++ b/internal/crashguard/table.go
@@ -158,21 +158,24 @@
 	return slices.Clone(t.holds)
 }
 
-// recordAnswer records that a server answered a request with the parts.
-func (t *Table) recordAnswer(service string, parts []string, now time.Time) {
+// recordAnswer records that a server answered a request with the parts, in an answer that it began at a time.
+func (t *Table) recordAnswer(service string, parts []string, begun, now time.Time) {
 	t.mu.Lock()
 	if len(t.answered) >= maxAnsweredParts {
 		t.answered, t.answeredBefore = map[partKey]time.Time{}, t.answered
 	}
 	changed := false
 	for _, part := range parts {
-		t.answered[partKey{service, part}] = now
-		changed = t.clearPart(service, part, now) || changed
+		key := partKey{service, part}
+		if begun.After(t.answered[key]) {
+			t.answered[key] = begun
+		}
+		changed = t.clearPart(service, part, begun) || changed
 	}
 	t.finishChange(changed, now)
 }
 
-// clearPart removes a part from the crashes before its answer and reports whether there were any. The caller holds the lock.
+// clearPart removes a part from the crashes before the beginning of its answer and reports whether there were any. The caller holds the lock.
 func (t *Table) clearPart(service, part string, answeredAt time.Time) bool {
 	changed := false
 	for key, crash := range t.crashes {
--- a/internal/crashguard/table_test.go
+++ b/internal/crashguard/table_test.go
@@ -76,7 +76,7 @@
 		t.Errorf("after a trial that crashed a server: %+v", verdict)
 	}
 	trial = table.Begin("desk", "another", "second trial", promptOf("bad"), true, func() { t.Error("the trial is cancelled") })
-	trial.Survived(last.Add(4 * minHoldTime))
+	trial.Survived(last.Add(4*minHoldTime), last.Add(4*minHoldTime))
 	if table.Check("desk", promptOf("bad"), false, last.Add(4*minHoldTime)).Held || len(table.Holds()) > 0 {
 		t.Error("held after an answer")
 	}
@@ -116,7 +116,7 @@
 		}
 		now := time.Unix(int64(n), 0)
 		table.Begin("desk", strconv.Itoa(n), strconv.Itoa(n), prompt, false, nil).Crashed(false, now)
-		table.Begin("desk", "s", strconv.Itoa(n), prompt, false, nil).Survived(now.Add(time.Millisecond))
+		table.Begin("desk", "s", strconv.Itoa(n), prompt, false, nil).Survived(now.Add(time.Millisecond), now.Add(time.Millisecond))
 	}
 	crashes := table.Crashes(time.Time{})
 	if len(crashes) > maxCrashes || len(table.answered) > maxAnsweredParts+maxParts {
@@ -146,8 +146,8 @@
 		forwards, backwards := newTable(true), newTable(true)
 		answered := part.Draw(t, "answered")
 		forwards.Merge(crashes, now)
-		forwards.recordAnswer("desk", []string{answered}, now)
-		backwards.recordAnswer("desk", []string{answered}, now)
+		forwards.recordAnswer("desk", []string{answered}, now, now)
+		backwards.recordAnswer("desk", []string{answered}, now, now)
 		slices.Reverse(crashes)
 		for _, c := range crashes {
 			backwards.Merge([]Crash{c}, now)
@@ -194,7 +194,7 @@
 	} {
 		table := newTable(true)
 		if c.answered != nil {
-			table.Begin("desk", "s", "sound", promptOf(c.answered...), false, nil).Survived(now)
+			table.Begin("desk", "s", "sound", promptOf(c.answered...), false, nil).Survived(now, now)
 		}
 		table.Begin("desk", "s", "r", promptOf("bad"), false, nil).Crashed(false, now.Add(time.Second))
 		if diff := cmp.Diff(c.want, marked(table), cmpopts.EquateEmpty()); diff != "" {
@@ -202,7 +202,7 @@
 		}
 	}
 	knows := newTable(true)
-	knows.Begin("desk", "s", "sound", promptOf("bad"), false, nil).Survived(now)
+	knows.Begin("desk", "s", "sound", promptOf("bad"), false, nil).Survived(now, now)
 	knows.Merge([]Crash{{Service: "desk", Server: "s", Request: "r", Parts: []string{"bad"}, NeverAnswered: []string{"bad"}, At: now.Add(time.Second)}}, now.Add(time.Second))
 	if got := marked(knows); len(got) != 0 {
 		t.Errorf("an instance that knows an answer keeps the claim %v of a peer", got)
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -57,11 +57,12 @@
 	}
 }
 
-// recordSurvival records that an answer to the request does not crash its server.
+// recordSurvival records that an answer to the request does not crash its server. An answer says nothing of a prompt that has turned harmful
+// since the server began it.
 func (r *requestJob) recordSurvival() {
 	if !r.survived {
 		r.survived = true
-		r.watched.Survived(time.Now())
+		r.watched.Survived(r.answerStart, time.Now())
 	}
 }
 
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -39,7 +39,11 @@
 // crashingBackends answers every prompt, but a server ends when it begins to answer one with crashingPart: all requests that it works
 // on break off, and for some seconds it accepts no connections.
 type crashingBackends struct {
-	moment     crashMoment
+	moment crashMoment
+	// harmlessUntil is the time until which servers begin answers with crashingPart that they complete. The identifiers of these requests are the
+	// pauses between the events in seconds.
+	harmlessUntil time.Time
+
 	mu         sync.Mutex
 	downUntil  map[string]time.Time
 	ended      map[string]chan struct{}
@@ -106,7 +110,15 @@
 		b.crash(attempt.Server.ID)
 		return nil, &SendError{Sent: true, ServerClosed: true, Cause: io.ErrUnexpectedEOF}
 	}
-	return &Reply{Confidence: 100, IsEventStream: true, Body: &crashingBody{backends: b, attempt: attempt, ended: ended}}, nil
+	body := &crashingBody{backends: b, attempt: attempt, ended: ended, pause: 50 * time.Millisecond, crashes: hasPart(attempt.Request.Prompt, crashingPart)}
+	if body.crashes && time.Now().Before(b.harmlessUntil) {
+		seconds, err := strconv.Atoi(attempt.Request.ID)
+		if err != nil {
+			return nil, err
+		}
+		body.pause, body.crashes = time.Duration(seconds)*time.Second, false
+	}
+	return &Reply{Confidence: 100, IsEventStream: true, Body: body}, nil
 }
 
 // crashingBody is a stream of eight events.
@@ -114,6 +126,8 @@
 	backends *crashingBackends
 	attempt  Attempt
 	ended    chan struct{}
+	pause    time.Duration
+	crashes  bool
 	next     int
 }
 
@@ -125,11 +139,11 @@
 		return Event{}, io.EOF
 	}
 	select {
-	case <-time.After(50 * time.Millisecond):
+	case <-time.After(b.pause):
 	case <-b.ended:
 		return Event{}, io.ErrUnexpectedEOF
 	}
-	if hasPart(b.attempt.Request.Prompt, crashingPart) && (b.backends.moment == crashAfterHead || b.next > 0) {
+	if b.crashes && (b.backends.moment == crashAfterHead || b.next > 0) {
 		b.backends.crash(b.attempt.Server.ID)
 		return Event{}, io.ErrUnexpectedEOF
 	}
@@ -286,3 +300,31 @@
 		}
 	})
 }
+
+// Guards against a hold that is lifted by an answer which a server began before the part turned harmful, and which goes on after the crashes (hunt,
+// large, tainted --seed 111183956367, BUDGET).
+func TestAnswersBegunBeforeTheCrashesLiftNoHold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		backends := newCrashingBackends(crashAfterHead)
+		backends.harmlessUntil = time.Now().Add(time.Second)
+		g := newGateway(40, backends, slog.New(slog.NewJSONHandler(io.Discard, nil)))
+		defer g.Stop()
+		var requests sync.WaitGroup
+		for _, pause := range []string{"2", "3", "4"} {
+			requests.Go(func() { sendPrompt(t.Context(), g, pause, "common", crashingPart) })
+		}
+		<-time.After(1500 * time.Millisecond)
+		for n := range 60 {
+			requests.Go(func() { sendPrompt(t.Context(), g, "crashing-"+strconv.Itoa(n), "common", crashingPart) })
+			requests.Go(func() { sendPrompt(t.Context(), g, "sound-"+strconv.Itoa(n), "common", "document-"+strconv.Itoa(n%20)) })
+			<-time.After(200 * time.Millisecond)
+		}
+		requests.Wait()
+		if len(backends.crashes) < crashEvidence-2 {
+			t.Fatalf("%d servers ended, so that the test cannot detect a fault", len(backends.crashes))
+		}
+		if len(backends.crashes) > crashEvidence+maxLateCrashRequests {
+			t.Errorf("%d servers ended", len(backends.crashes))
+		}
+	})
+}
