Count only events as a sign that an answer survives

Callers saw: a prompt that crashes servers was never held by instances that notice the end of a server late, and went on ending servers.

Cause: the 250 ms after the first event for which an answer must go on were also counted when the connection had broken.

Change: only an event counts.

--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/cicadawall/cicadawall/internal/backend"
+	"github.com/cicadawall/cicadawall/internal/crashguard"
 )
 
 const (
@@ -34,6 +35,8 @@
 	crashAfterHead
 	// crashAfterEvent is some milliseconds after one event, also if an answer is resumed.
 	crashAfterEvent
+	// crashNoticedLate is the same, but the instance notices the end of the connection only after a while.
+	crashNoticedLate
 )
 
 // crashingBackends answers every prompt, but a server ends when it begins to answer one with crashingPart: all requests that it works
@@ -145,6 +148,9 @@
 	}
 	if b.crashes && (b.backends.moment == crashAfterHead || b.next > 0) {
 		b.backends.crash(b.attempt.Server.ID)
+		if b.backends.moment == crashNoticedLate {
+			<-time.After(2 * crashguard.SurvivalTime)
+		}
 		return Event{}, io.ErrUnexpectedEOF
 	}
 	b.next++
@@ -328,3 +334,25 @@
 		}
 	})
 }
+
+// Guards against the end of a connection that is noticed late and counts as an answer that went on, so that a harmful prompt is never held.
+func TestLateEndOfConnectionIsNoSurvival(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		backends := newCrashingBackends(crashNoticedLate)
+		g := newGateway(40, backends, slog.New(slog.NewJSONHandler(io.Discard, nil)))
+		defer g.Stop()
+		var requests sync.WaitGroup
+		for n := range 60 {
+			requests.Go(func() { sendPrompt(t.Context(), g, "crashing-"+strconv.Itoa(n), "common", crashingPart) })
+			requests.Go(func() { sendPrompt(t.Context(), g, "sound-"+strconv.Itoa(n), "common", "document-"+strconv.Itoa(n%20)) })
+			<-time.After(200 * time.Millisecond)
+		}
+		requests.Wait()
+		if len(backends.crashes) < crashEvidence-2 {
+			t.Fatalf("%d servers ended, so that the test cannot detect a fault", len(backends.crashes))
+		}
+		if late := backends.lateCrashSends(); late > maxLateCrashRequests {
+			t.Errorf("%d requests reached servers late, %d servers ended", late, len(backends.crashes))
+		}
+	})
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -46,9 +46,6 @@
 	for delivered := 1; ; delivered++ {
 		event, err := reply.Body.Next()
 		now := time.Now()
-		if !firstEventAt.IsZero() && now.Sub(firstEventAt) >= crashguard.SurvivalTime {
-			r.recordSurvival()
-		}
 		if err == io.EOF && r.headSent {
 			r.recordSurvival()
 			server.End(backend.ResultSuccess, now)
@@ -67,9 +64,12 @@
 		if event.LastID != "" {
 			// Bytes without an event, such as comments, are no progress.
 			timer.reset()
-			if firstEventAt.IsZero() {
+			switch {
+			case firstEventAt.IsZero():
 				firstEventAt = now
 				r.watched.Begun()
+			case now.Sub(firstEventAt) >= crashguard.SurvivalTime:
+				r.recordSurvival()
 			}
 		}
 		if err := r.relayEvent(reply, event, firstAt); err != nil {
