--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -307,8 +307,17 @@
 	})
 }
 
-// Guards against a hold that is lifted by an answer which a server began before the part turned harmful, and which goes on after the crashes (hunt,
-// large, tainted --seed 111183956367, BUDGET).
+// sendCrashingAndSound sends requests with crashingPart and sound ones for 12 s, and waits for all requests of the group.
+func sendCrashingAndSound(t *testing.T, g *Gateway, requests *sync.WaitGroup) {
+	for n := range 60 {
+		requests.Go(func() { sendPrompt(t.Context(), g, "crashing-"+strconv.Itoa(n), "common", crashingPart) })
+		requests.Go(func() { sendPrompt(t.Context(), g, "sound-"+strconv.Itoa(n), "common", "document-"+strconv.Itoa(n%20)) })
+		<-time.After(200 * time.Millisecond)
+	}
+	requests.Wait()
+}
+
+// Guards against a hold that is lifted by an answer which a server began before the part turned harmful, and which goes on after the crashes.
 func TestAnswersBegunBeforeTheCrashesLiftNoHold(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		backends := newCrashingBackends(crashAfterHead)
@@ -320,12 +329,7 @@
 			requests.Go(func() { sendPrompt(t.Context(), g, pause, "common", crashingPart) })
 		}
 		<-time.After(1500 * time.Millisecond)
-		for n := range 60 {
-			requests.Go(func() { sendPrompt(t.Context(), g, "crashing-"+strconv.Itoa(n), "common", crashingPart) })
-			requests.Go(func() { sendPrompt(t.Context(), g, "sound-"+strconv.Itoa(n), "common", "document-"+strconv.Itoa(n%20)) })
-			<-time.After(200 * time.Millisecond)
-		}
-		requests.Wait()
+		sendCrashingAndSound(t, g, &requests)
 		if len(backends.crashes) < crashEvidence-2 {
 			t.Fatalf("%d servers ended, so that the test cannot detect a fault", len(backends.crashes))
 		}
@@ -342,12 +346,7 @@
 		g := newGateway(40, backends, slog.New(slog.NewJSONHandler(io.Discard, nil)))
 		defer g.Stop()
 		var requests sync.WaitGroup
-		for n := range 60 {
-			requests.Go(func() { sendPrompt(t.Context(), g, "crashing-"+strconv.Itoa(n), "common", crashingPart) })
-			requests.Go(func() { sendPrompt(t.Context(), g, "sound-"+strconv.Itoa(n), "common", "document-"+strconv.Itoa(n%20)) })
-			<-time.After(200 * time.Millisecond)
-		}
-		requests.Wait()
+		sendCrashingAndSound(t, g, &requests)
 		if len(backends.crashes) < crashEvidence-2 {
 			t.Fatalf("%d servers ended, so that the test cannot detect a fault", len(backends.crashes))
 		}
