Take a reset that a write has met for no end of an answer

Cause: an answer without a length ends with its connection. The kernel reports a reset once, to whichever call comes first. If that was the write of the request, the read found an end of the stream, which both senders took for the end of the answer.

Change: tcpconn.Conn keeps the kernel's error of a write. A read at the end of the stream ends the writes that are under way and returns that error. EPIPE does not count: the kernel gives it for a reset after the peer's orderly end, so a server that ends its answer and leaves the rest of an upload unread is still answered for. Servers, engines, the store and peers are all read through it.

--- /dev/null
+++ b/internal/e2e/fleet_broken_answers_test.go
@@ -0,0 +1,105 @@
+package e2e
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/oapi-codegen/nullable"
+
+	"github.com/cicadawall/cicadawall/platform/wire"
+)
+
+// longUpload is the body of a request that the socket buffers do not hold, so that it is still being written when the answer begins.
+var longUpload = strings.Repeat("x", 3<<20)
+
+// startRawServer starts the only server of a new service with two routes, /SERVICE/ for orders and /SERVICE-stream/ for streams that may be resumed.
+// It answers each connection with the function, which gets the identifier of the connection's first request.
+func (f *fleet) startRawServer(service string, answer func(conn *net.TCPConn, id string)) {
+	f.t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				if request, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+					answer(conn.(*net.TCPConn), request.Header.Get("Cicadawall-Request-Id"))
+				}
+			}()
+		}
+	}()
+	f.putServerRow("server-of-"+service, map[string]any{
+		"Service": service, "Address": listener.Addr().String(), "Zone": "zone-a", "State": "ready", "ColdRemainingMs": 0,
+	})
+}
+
+// writeRawManifest writes a manifest with the routes of the services, and waits until requests reach their servers.
+func (f *fleet) writeRawManifest(i *fleetInstance, services ...string) {
+	f.t.Helper()
+	manifest := f.nextManifest()
+	manifest.Organisations = nullable.NewNullableWithValue([]wire.ManifestTenant{{Name: "arena-north", ApiKeys: []string{fleetKey}}})
+	for _, service := range services {
+		stream, order := manifest.Routes[0], manifest.Routes[1]
+		order.Name, order.PathPrefix, order.Service = service, "/"+service+"/", service
+		stream.Name, stream.PathPrefix, stream.Service = service+"-stream", "/"+service+"-stream/", service
+		stream.ModelsBySize = nullable.Nullable[[]string]{}
+		manifest.Routes = append(manifest.Routes, stream, order)
+		manifest.Services = append(manifest.Services, wire.ManifestService{Name: service})
+	}
+	f.store.Put("op", "config", f.encode(manifest))
+	for _, service := range services {
+		eventually(f.t, recoveryTimeout, "requests reach "+service, func() bool {
+			status := f.send(i, http.MethodPost, "/"+service+"/x", "await").status
+			return status != http.StatusNotFound && status != http.StatusServiceUnavailable
+		})
+	}
+}
+
+// answerHead returns the head of an answer with the seal of the server and without a length.
+func answerHead(id, contentType string) string {
+	return "HTTP/1.1 200 OK\r\nCicadawall-Request-Id: " + id + "\r\nCicadawall-Response-Seal: seal\r\nContent-Type: " + contentType + "\r\n"
+}
+
+// Guards against a part of an answer that reaches the caller as a complete one: the server answers a long upload at once, without a length, and
+// resets the connection while the upload is still being written.
+func TestFleetResetDuringUpload(t *testing.T) {
+	const requests = 40
+	f := newFleet(t, 1)
+	i := f.instances[0]
+	resetAfter := func(contentType, part string) func(*net.TCPConn, string) {
+		return func(conn *net.TCPConn, id string) {
+			_, _ = io.WriteString(conn, answerHead(id, contentType)+"\r\n"+part)
+			_ = conn.SetLinger(0)
+		}
+	}
+	f.startRawServer("plain", resetAfter("text/plain", "part"))
+	f.startRawServer("events", resetAfter("text/event-stream", "id: 1\ndata: part\n\n"))
+	f.writeRawManifest(i, "plain", "events")
+	for path, want := range map[string]int{"/plain/x": http.StatusBadGateway, "/events-stream/x": http.StatusOK} {
+		complete := 0
+		for n := range requests {
+			id := fmt.Sprintf("upload-%d", n)
+			got := f.sendRequest(i, http.MethodPost, path, id, fleetKey, "shared:80,"+id+":20", longUpload)
+			if got.status == http.StatusOK && got.err == nil {
+				complete++
+			} else if got.status != want && got.status != http.StatusBadGateway {
+				t.Errorf("%s: %+v", path, got)
+			}
+		}
+		if complete > 0 {
+			t.Errorf("%s: a part was passed on as a complete answer to %d of %d requests", path, complete, requests)
+		}
+	}
+}
--- a/internal/e2e/fleet_world_test.go
+++ b/internal/e2e/fleet_world_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -131,10 +132,16 @@
 
 // writeServerRow writes the server's row to the store, as a backend server of the users' platform does.
 func (f *fleet) writeServerRow(s *fleetServer, state string) {
-	f.store.Put("servers", s.id, f.encode(map[string]any{
-		"Service": s.service, "Address": s.link.address(), "Zone": s.zone, "Version": "v1", "Slots": 8, "State": state,
-		"ColdRemainingMs": s.coldMillis, "Sequence": 1,
-	}))
+	f.putServerRow(s.id, map[string]any{
+		"Service": s.service, "Address": s.link.address(), "Zone": s.zone, "State": state, "ColdRemainingMs": s.coldMillis,
+	})
+}
+
+// putServerRow writes a server's row with the fields and the ones that are the same for all servers.
+func (f *fleet) putServerRow(id string, fields map[string]any) {
+	row := map[string]any{"Version": "v1", "Slots": 8, "Sequence": 1}
+	maps.Copy(row, fields)
+	f.store.Put("servers", id, f.encode(row))
 }
 
 // writeManifest writes the next version of the manifest to the store; its only organisation has the given API keys.
@@ -237,16 +244,16 @@
 
 // sendWithKey sends one request with the API key, or without one if it is empty, and reads the whole response.
 func (f *fleet) sendWithKey(i *fleetInstance, method, path, id, key string) reply {
-	return f.sendRequest(i, method, path, id, key, "shared:80,"+id+":20")
+	return f.sendRequest(i, method, path, id, key, "shared:80,"+id+":20", "body of "+id)
 }
 
 // sendPrompt sends a request for a stream with the prompt.
 func (f *fleet) sendPrompt(i *fleetInstance, id, prompt string) reply {
-	return f.sendRequest(i, http.MethodPost, "/chat/x", id, fleetKey, prompt)
+	return f.sendRequest(i, http.MethodPost, "/chat/x", id, fleetKey, prompt, "body of "+id)
 }
 
-func (f *fleet) sendRequest(i *fleetInstance, method, path, id, key, prompt string) reply {
-	request, err := http.NewRequest(method, "http://"+i.callerAddress+path, strings.NewReader("body of "+id))
+func (f *fleet) sendRequest(i *fleetInstance, method, path, id, key, prompt, body string) reply {
+	request, err := http.NewRequest(method, "http://"+i.callerAddress+path, strings.NewReader(body))
 	if err != nil {
 		return reply{err: err}
 	}
@@ -266,8 +273,8 @@
 		return reply{err: err}
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(response.Body)
-	return reply{status: response.StatusCode, body: string(body), seal: response.Header.Get("Cicadawall-Response-Seal"), err: err}
+	answer, err := io.ReadAll(response.Body)
+	return reply{status: response.StatusCode, body: string(answer), seal: response.Header.Get("Cicadawall-Response-Seal"), err: err}
 }
 
 // runsOf returns the executions of a request at all backend servers.
--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -9,6 +9,8 @@
 
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
+
+	"github.com/cicadawall/cicadawall/internal/tcpconn"
 )
 
 const (
@@ -28,7 +30,7 @@
 
 // conn is a connection of the pool. At most one exchange uses it at a time.
 type conn struct {
-	net.Conn
+	*tcpconn.Conn
 	address string
 	limiter *headLimiter
 	reader  *bufio.Reader
@@ -42,8 +44,9 @@
 }
 
 func newConn(raw net.Conn, address string) *conn {
-	limiter := &headLimiter{source: raw}
-	return &conn{Conn: raw, address: address, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes)}
+	stream := tcpconn.New(raw)
+	limiter := &headLimiter{source: stream}
+	return &conn{Conn: stream, address: address, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes)}
 }
 
 // ErrHeadTooLong means that a peer sent more than maxHeadBytes without completing the head of an answer.
@@ -106,7 +109,7 @@
 // that was abandoned during a network partition could arrive seconds later, when the peer may be shutting down or another one
 // may already have answered.
 func (c *conn) abort() {
-	if socket, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+	if socket, ok := c.NetConn().(interface{ SetLinger(seconds int) error }); ok {
 		// It fails only on a connection that is already closed.
 		_ = socket.SetLinger(0)
 	}
@@ -119,7 +122,7 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	socket, ok := c.Conn.(syscall.Conn)
+	socket, ok := c.NetConn().(syscall.Conn)
 	if !ok {
 		return true
 	}
--- a/internal/httpsend/sender.go
+++ b/internal/httpsend/sender.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/cicadawall/cicadawall/internal/httpstatus"
+	"github.com/cicadawall/cicadawall/internal/tcpconn"
 )
 
 const (
@@ -76,7 +77,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &trackedConn{Conn: conn, onTraffic: options.OnTraffic}, nil
+		return &trackedConn{Conn: tcpconn.New(conn), onTraffic: options.OnTraffic}, nil
 	}
 	return &Sender{transport: &http.Transport{
 		DialContext:            dial,
