Check the status of answers of the operator API

Cause: the command used http.DefaultClient, which returns such statuses, and the state of a change is read from the body of any status.

Change: the check of httpsend.Sender moves into a transport that the Sender and the new httpsend.NewClient share; the command uses the latter. The outcome is then unknown (exit 5).

--- a/internal/cli/config_client.go
+++ b/internal/cli/config_client.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/cicadawall/cicadawall/internal/api"
+	"github.com/cicadawall/cicadawall/internal/httpsend"
 )
 
 const (
@@ -35,10 +36,11 @@
 type operatorClient struct {
 	baseURL string
 	key     string
+	http    *http.Client
 }
 
 func (f OperatorFlags) client() operatorClient {
-	return operatorClient{baseURL: strings.TrimRight(f.OperatorURL, "/"), key: f.OperatorKey}
+	return operatorClient{baseURL: strings.TrimRight(f.OperatorURL, "/"), key: f.OperatorKey, http: httpsend.NewClient()}
 }
 
 // show returns the declaration in force. Its revision is 0 if there is none.
@@ -82,7 +84,7 @@
 	}
 	req.Header.Set("Authorization", "Bearer "+c.key)
 	req.Header.Set("Content-Type", "application/json")
-	reply, err := http.DefaultClient.Do(req)
+	reply, err := c.http.Do(req)
 	if err != nil {
 		return 0, errors.Wrap(err, "call the operator API")
 	}
--- a/internal/e2e/fleet_broken_answers_test.go
+++ b/internal/e2e/fleet_broken_answers_test.go
@@ -103,3 +103,26 @@
 		}
 	}
 }
+
+// Guards against an answer with a status that HTTP does not define reaching the caller.
+func TestFleetStatusesThatAreNotHTTP(t *testing.T) {
+	f := newFleet(t, 1)
+	i := f.instances[0]
+	statuses := []string{"000", "099", "+20", "600", "999", "20", "2000"}
+	var services []string
+	for n, status := range statuses {
+		services = append(services, fmt.Sprintf("status-%d", n))
+		f.startRawServer(services[n], func(conn *net.TCPConn, id string) {
+			head := strings.Replace(answerHead(id, "text/plain"), "200", status, 1)
+			_, _ = io.WriteString(conn, head+"Content-Length: 5\r\n\r\nwhole")
+		})
+	}
+	f.writeRawManifest(i, services...)
+	for n, service := range services {
+		for _, path := range []string{"/" + service + "/x", "/" + service + "-stream/x"} {
+			if got := f.send(i, http.MethodPost, path, "status-"+statuses[n]); got.status != http.StatusBadGateway || got.err != nil {
+				t.Errorf("%s, server's status %s: %+v", path, statuses[n], got)
+			}
+		}
+	}
+}
--- a/internal/httpconn/status_test.go
+++ b/internal/httpconn/status_test.go
@@ -15,6 +15,8 @@
 	for answer, final := range map[string]bool{
 		"HTTP/1.1 101 Switching Protocols\r\nId: 1\r\n\r\n": false, "HTTP/1.1 099 Odd\r\nId: 1\r\n\r\n": false,
 		"HTTP/1.1 000 Odd\r\nId: 1\r\n\r\n": false, "HTTP/1.1 600 Odd\r\nId: 1\r\nContent-Length: 0\r\n\r\n": false,
+		"HTTP/1.1 +20 Odd\r\nId: 1\r\nContent-Length: 0\r\n\r\n": false, "HTTP/1.1 999 Odd\r\nId: 1\r\nContent-Length: 0\r\n\r\n": false,
+		"HTTP/1.1 20 Odd\r\nId: 1\r\nContent-Length: 0\r\n\r\n": false, "HTTP/1.1 2000 Odd\r\nId: 1\r\nContent-Length: 0\r\n\r\n": false,
 		"HTTP/1.1 103 Early Hints\r\nId: 1\r\n\r\n" + answerWithID("1"):                    true,
 		"HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 101 Switching Protocols\r\nId: 1\r\n\r\n": false,
 	} {
--- a/internal/httpsend/sender.go
+++ b/internal/httpsend/sender.go
@@ -12,7 +12,6 @@
 	"net/http/httptrace"
 	"time"
 
-	"github.com/cicadawall/cicadawall/internal/httpstatus"
 	"github.com/cicadawall/cicadawall/internal/tcpconn"
 )
 
@@ -61,7 +60,7 @@
 
 // Sender sends each request once, over pooled connections unless Options.NewConnectionPerRequest is set. It is safe for
 // concurrent use.
-type Sender struct{ transport *http.Transport }
+type Sender struct{ transport checkedTransport }
 
 // New returns a Sender with its own connection pool.
 func New(options Options) *Sender {
@@ -79,7 +78,7 @@
 		}
 		return &trackedConn{Conn: tcpconn.New(conn), onTraffic: options.OnTraffic}, nil
 	}
-	return &Sender{transport: &http.Transport{
+	return &Sender{transport: checkedTransport{&http.Transport{
 		DialContext:            dial,
 		MaxConnsPerHost:        options.MaxConnsPerHost,
 		MaxIdleConnsPerHost:    options.MaxConnsPerHost,
@@ -89,7 +88,7 @@
 		TLSHandshakeTimeout:    options.DialTimeout,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
-	}}
+	}}}
 }
 
 // Close closes idle connections.
@@ -103,13 +102,10 @@
 	request = request.WithContext(httptrace.WithClientTrace(request.Context(), trace))
 	preventReplay(request)
 	response, err := s.transport.RoundTrip(request)
-	if err == nil {
-		if err = httpstatus.CheckFinal(response.StatusCode); err == nil {
-			return response, nil
-		}
-		_ = response.Body.Close()
+	if err != nil {
+		return nil, &Error{Sent: attempt.sealAndCheckSent(), Cause: err}
 	}
-	return nil, &Error{Sent: attempt.sealAndCheckSent(), Cause: err}
+	return response, nil
 }
 
 // RoundTrip implements http.RoundTripper; it is the same as Do.
