Refuse answers whose field names are no tokens

Cause: the parser of net/http accepts blanks in names on purpose and keeps such fields under keys of their own. Nothing checked the names after it. Control bytes, DEL, bytes above 127 and empty names were refused by the parser before; their tests stay.

Change: httpanswer (was httpstatus) also checks names, in the heads of final and interim answers, of skipped answers to earlier requests, and in trailers, for both senders and the operators' client.

--- a/internal/cli/broken_answer_test.go
+++ b/internal/cli/broken_answer_test.go
@@ -41,15 +41,17 @@
 // Guards against an answer of the operator API that is none in HTTP and that a script takes for an accepted change.
 func TestBrokenAnswerIsNoAcceptedChange(t *testing.T) {
 	for head, want := range map[string]int{
-		"HTTP/1.1 200 OK\r\n":        ExitOK,
-		"HTTP/1.1 000 OK\r\n":        ExitUnknown,
-		"HTTP/1.1 099 OK\r\n":        ExitUnknown,
-		"HTTP/1.1 +20 OK\r\n":        ExitUnknown,
-		"HTTP/1.1 600 OK\r\n":        ExitUnknown,
-		"HTTP/1.1 999 OK\r\n":        ExitUnknown,
-		"HTTP/1.1 20 OK\r\n":         ExitUnknown,
-		"HTTP/1.1 2000 OK\r\n":       ExitUnknown,
-		"HTTP/1.1 101 Switching\r\n": ExitUnknown,
+		"HTTP/1.1 200 OK\r\n":              ExitOK,
+		"HTTP/1.1 000 OK\r\n":              ExitUnknown,
+		"HTTP/1.1 099 OK\r\n":              ExitUnknown,
+		"HTTP/1.1 +20 OK\r\n":              ExitUnknown,
+		"HTTP/1.1 600 OK\r\n":              ExitUnknown,
+		"HTTP/1.1 999 OK\r\n":              ExitUnknown,
+		"HTTP/1.1 20 OK\r\n":               ExitUnknown,
+		"HTTP/1.1 2000 OK\r\n":             ExitUnknown,
+		"HTTP/1.1 200 OK\r\nX Y: 1\r\n":    ExitUnknown,
+		"HTTP/1.1 200 OK\r\nX\x01Y: 1\r\n": ExitUnknown,
+		"HTTP/1.1 101 Switching\r\n":       ExitUnknown,
 	} {
 		url := startBrokenOperatorAPI(t, head)
 		code, out, errOut := runConfig(t, "apply", "--operator-url", url, "--operator-key", operatorKey, "--author", "ada", writeDeclaration(t, declarationText))
--- a/internal/e2e/fleet_broken_answers_test.go
+++ b/internal/e2e/fleet_broken_answers_test.go
@@ -126,3 +126,44 @@
 		}
 	}
 }
+
+// Guards against an answer with a line in its head that is no field of HTTP reaching the caller, with that line or with a body that is not the server's.
+func TestFleetInvalidFieldNames(t *testing.T) {
+	f := newFleet(t, 1)
+	i := f.instances[0]
+	const length, chunked = "Content-Length: 5\r\n\r\nwhole", "\r\n5\r\nwhole\r\n0\r\n\r\n"
+	// The answers by their lines after the seal, and whether they reach the caller.
+	answers := map[string]bool{
+		"X Y: 1\r\n" + length:                       false,
+		"X-Y : 1\r\n" + length:                      false,
+		"X\tY: 1\r\n" + length:                      false,
+		"X\x00Y: 1\r\n" + length:                    false,
+		"X\x01Y: 1\r\n" + length:                    false,
+		"X\x7fY: 1\r\n" + length:                    false,
+		"X\u00e9: 1\r\n" + length:                   false,
+		": 1\r\n" + length:                          false,
+		"Content-Length : 5\r\n\r\nwhole and more":  false,
+		"Transfer-Encoding : chunked\r\n" + chunked: false,
+		"Cicadawall-Not-Executed : 1\r\n" + length:  false,
+		"X!#$%&'*+-.^_|~1`: \u00e9\r\n" + length:    true,
+		"Transfer-Encoding: chunked\r\n" + chunked:  true,
+		"\r\nwhole": true,
+	}
+	delivered := map[string]bool{}
+	var services []string
+	for lines, deliver := range answers {
+		service := fmt.Sprintf("names-%d", len(services))
+		services, delivered[service] = append(services, service), deliver
+		f.startRawServer(service, func(conn *net.TCPConn, id string) {
+			_, _ = io.WriteString(conn, answerHead(id, "text/plain")+lines)
+		})
+	}
+	f.writeRawManifest(i, services...)
+	for service, deliver := range delivered {
+		got := f.send(i, http.MethodPost, "/"+service+"/x", "order")
+		whole := got.status == http.StatusOK && got.body == "whole" && got.err == nil
+		if whole != deliver || !deliver && got.status != http.StatusBadGateway {
+			t.Errorf("%s: deliver %t, got %+v", service, deliver, got)
+		}
+	}
+}
--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 
+	"github.com/cicadawall/cicadawall/internal/httpanswer"
 	"github.com/cicadawall/cicadawall/internal/tcpconn"
 )
 
@@ -52,33 +53,44 @@
 // ErrHeadTooLong means that a peer sent more than maxHeadBytes without completing the head of an answer.
 var ErrHeadTooLong = errors.New("head of the answer is too long")
 
-// headLimiter limits the bytes that are read from a connection while a head is read.
+// headLimiter reads from a connection and limits the bytes of a head.
 type headLimiter struct {
 	source io.Reader
+	// failed is set if the connection has failed or ended since the beginning of the last head.
+	failed bool
 	// limited is set while a head is read, of which at most remaining bytes may still arrive.
 	limited   bool
 	remaining int
 }
 
 // start limits the bytes that are read from now on.
-func (l *headLimiter) start() { l.limited, l.remaining = true, maxHeadBytes }
+func (l *headLimiter) start() { l.limited, l.remaining, l.failed = true, maxHeadBytes, false }
 
 // stop ends the limit.
 func (l *headLimiter) stop() { l.limited = false }
 
 // Read implements io.Reader.
 func (l *headLimiter) Read(p []byte) (int, error) {
-	if !l.limited {
-		return l.source.Read(p)
-	}
-	if l.remaining <= 0 {
+	if l.limited && l.remaining <= 0 {
 		return 0, ErrHeadTooLong
 	}
-	n, err := l.source.Read(p[:min(len(p), l.remaining)])
+	if l.limited {
+		p = p[:min(len(p), l.remaining)]
+	}
+	n, err := l.source.Read(p)
 	l.remaining -= n
+	l.failed = l.failed || err != nil
 	return n, err
 }
 
+// readError returns the error of a head or body that could not be read to its end: a MalformedError unless the connection failed or ended.
+func (c *conn) readError(err error) error {
+	if c.limiter.failed {
+		return err
+	}
+	return httpanswer.NewMalformedError(err)
+}
+
 // dialer returns a dialer whose connections detect unreachable peers with TCP keep-alive and TCP_USER_TIMEOUT.
 func dialer(timeout time.Duration) *net.Dialer {
 	return &net.Dialer{
--- a/internal/httpconn/exchange.go
+++ b/internal/httpconn/exchange.go
@@ -11,7 +11,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/cicadawall/cicadawall/internal/httpstatus"
+	"github.com/cicadawall/cicadawall/internal/httpanswer"
 )
 
 const (
@@ -76,8 +76,10 @@
 	// ReusedConnection is true if the connection had served another request before.
 	ReusedConnection bool
 
-	exchange  *exchange
-	body      io.ReadCloser
+	exchange *exchange
+	conn     *conn
+	answer   *http.Response
+	// bodyEnded is true once the body and its trailer have been read to their end.
 	bodyEnded bool
 }
 
@@ -150,20 +152,23 @@
 	return nil, ErrMismatchedAnswer
 }
 
-// readFinalAnswer reads the head of the next answer, of at most maxHeadBytes, and skips interim responses. A status that is not final is an
-// error: the bytes after it belong to no protocol that was asked for.
+// readFinalAnswer reads the head of the next answer, of at most maxHeadBytes, and skips interim responses. A status that is not final or a field that is
+// invalid is an error: the bytes after it belong to no protocol that was asked for.
 func (x *exchange) readFinalAnswer(method string) (*http.Response, error) {
 	x.conn.limiter.start()
 	defer x.conn.limiter.stop()
 	for {
 		answer, err := http.ReadResponse(x.conn.reader, &http.Request{Method: method})
 		if err != nil {
+			return nil, x.conn.readError(err)
+		}
+		if err := httpanswer.CheckFields(answer.Header); err != nil {
 			return nil, err
 		}
-		if httpstatus.IsInterim(answer.StatusCode) {
+		if httpanswer.IsInterim(answer.StatusCode) {
 			continue
 		}
-		if err := httpstatus.CheckFinal(answer.StatusCode); err != nil {
+		if err := httpanswer.CheckFinal(answer.StatusCode); err != nil {
 			return nil, err
 		}
 		return answer, nil
@@ -178,7 +183,7 @@
 	if _, err := io.CopyN(io.Discard, answer.Body, maxMismatchedBodyBytes); err != io.EOF {
 		return ErrMismatchedAnswer
 	}
-	return nil
+	return httpanswer.CheckFields(answer.Trailer)
 }
 
 // newResponse returns the response for an answer and records whether and how long its connection may be reused.
@@ -190,7 +195,8 @@
 		Header:           answer.Header,
 		ReusedConnection: x.conn.reused,
 		exchange:         x,
-		body:             answer.Body,
+		conn:             x.conn,
+		answer:           answer,
 	}
 }
 
@@ -210,11 +216,18 @@
 
 // Read implements io.Reader. It returns io.EOF only at the end of a complete body.
 func (r *Response) Read(p []byte) (int, error) {
-	n, err := r.body.Read(p)
-	if err == io.EOF {
-		r.bodyEnded = true
+	n, err := r.answer.Body.Read(p)
+	switch {
+	case err == nil:
+		return n, nil
+	case err != io.EOF:
+		return n, r.conn.readError(err)
+	}
+	if err := httpanswer.CheckFields(r.answer.Trailer); err != nil {
+		return n, err
 	}
-	return n, err
+	r.bodyEnded = true
+	return n, io.EOF
 }
 
 // Close ends the exchange. The connection returns to the pool if the whole answer was read, the whole request was written, the
--- a/internal/httpsend/sender.go
+++ b/internal/httpsend/sender.go
@@ -20,6 +20,8 @@
 	defaultIdleTimeout = 30 * time.Second
 	// maxResponseHeaderBytes bounds the memory that a server can make this process use before the response body starts.
 	maxResponseHeaderBytes = 64 << 10
+	// maxCauseBytes bounds the text of an Error. The errors of net/http quote a line of up to the length of a head.
+	maxCauseBytes = 300
 )
 
 // Options configures a Sender. Zero values take the defaults.
@@ -50,9 +52,9 @@
 // Error implements error.
 func (e *Error) Error() string {
 	if e.Sent {
-		return fmt.Sprintf("request may have been sent: %v", e.Cause)
+		return fmt.Sprintf("request may have been sent: %.*s", maxCauseBytes, e.Cause.Error())
 	}
-	return fmt.Sprintf("request not sent: %v", e.Cause)
+	return fmt.Sprintf("request not sent: %.*s", maxCauseBytes, e.Cause.Error())
 }
 
 // Unwrap returns the cause, for errors.Is and errors.As.
@@ -94,8 +96,8 @@
 // Close closes idle connections.
 func (s *Sender) Close() { s.transport.CloseIdleConnections() }
 
-// Do sends the request once. The error is always an *Error; a response whose status is not final is one. The request's context bounds the
-// call and the reading of the response body.
+// Do sends the request once. The error is always an *Error; a response whose status is not final or that has an invalid field is one. The request's
+// context bounds the call and the reading of the response body.
 func (s *Sender) Do(request *http.Request) (*http.Response, error) {
 	attempt := &attempt{}
 	trace := &httptrace.ClientTrace{GotConn: attempt.gotConn}
