Count malformed answers on kept connections against their server

Cause: a failure within 50 ms on a reused connection was taken for the server's closing of an idle connection, whatever had arrived.

Change: the error says that the answer was malformed, and is evidence then. Ends of the connection before or within a head are none, as before; their error no longer quotes the line that was cut.

--- a/internal/gateway/message.go
+++ b/internal/gateway/message.go
@@ -119,6 +119,8 @@
 	Sent bool
 	// ServerClosed is true if the server closed or reset the connection.
 	ServerClosed bool
+	// Malformed is true if the server sent bytes that are no answer.
+	Malformed bool
 	// ReusedConnection is true if the connection had served an earlier request.
 	ReusedConnection bool
 	Cause            error
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -247,9 +247,10 @@
 	sent, staleConnection := true, false
 	var failed *SendError
 	if errors.As(err, &failed) {
-		sent, staleConnection = failed.Sent, failed.ReusedConnection
+		sent, staleConnection = failed.Sent, failed.ReusedConnection && !failed.Malformed
 	}
-	// A server closes idle connections, so a reused connection that fails at once is no evidence against the server.
+	// A server closes idle connections, so a reused connection that fails at once is no evidence against the server, unless the server has sent bytes
+	// on it.
 	staleConnection = staleConnection && time.Since(r.attemptStart) < staleConnectionTimeout
 	requestEnded := r.requestEnded(ctx)
 	result := backend.ResultFailure
--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -56,15 +56,15 @@
 // headLimiter reads from a connection and limits the bytes of a head.
 type headLimiter struct {
 	source io.Reader
-	// failed is set if the connection has failed or ended since the beginning of the last head.
-	failed bool
+	// failure is the error with which the connection failed or ended since the beginning of the last head.
+	failure error
 	// limited is set while a head is read, of which at most remaining bytes may still arrive.
 	limited   bool
 	remaining int
 }
 
 // start limits the bytes that are read from now on.
-func (l *headLimiter) start() { l.limited, l.remaining, l.failed = true, maxHeadBytes, false }
+func (l *headLimiter) start() { l.limited, l.remaining, l.failure = true, maxHeadBytes, nil }
 
 // stop ends the limit.
 func (l *headLimiter) stop() { l.limited = false }
@@ -79,16 +79,23 @@
 	}
 	n, err := l.source.Read(p)
 	l.remaining -= n
-	l.failed = l.failed || err != nil
+	if l.failure == nil {
+		l.failure = err
+	}
 	return n, err
 }
 
 // readError returns the error of a head or body that could not be read to its end: a MalformedError unless the connection failed or ended.
 func (c *conn) readError(err error) error {
-	if c.limiter.failed {
+	switch failure := c.limiter.failure; {
+	case failure == nil:
+		return httpanswer.NewMalformedError(err)
+	case errors.Is(err, failure), errors.Is(err, io.ErrUnexpectedEOF):
 		return err
+	default:
+		// The parser of net/http takes a line that is cut off for a whole one and quotes it.
+		return errors.Errorf("the connection ended within a line: %v", failure)
 	}
-	return httpanswer.NewMalformedError(err)
 }
 
 // dialer returns a dialer whose connections detect unreachable peers with TCP keep-alive and TCP_USER_TIMEOUT.
--- a/internal/httpconn/exchange.go
+++ b/internal/httpconn/exchange.go
@@ -68,6 +68,12 @@
 	return errors.Is(e.Cause, io.EOF) || errors.Is(e.Cause, io.ErrUnexpectedEOF) || errors.Is(e.Cause, syscall.ECONNRESET)
 }
 
+// Malformed reports whether the peer sent bytes that are no answer in HTTP.
+func (e *Error) Malformed() bool {
+	var malformed *httpanswer.MalformedError
+	return errors.As(e.Cause, &malformed)
+}
+
 // Response is an answer whose body has not been read yet. The reader must call Close, which returns the connection to the pool
 // only if the body was read to its end.
 type Response struct {
