--- a/internal/cli/broken_answer_test.go
+++ b/internal/cli/broken_answer_test.go
@@ -1,41 +1,28 @@
 package cli
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"testing"
+
+	"github.com/cicadawall/cicadawall/internal/standin/rawserver"
 )
 
 // startBrokenOperatorAPI answers each request for the declaration in force as usual, and each change with the head and a body that says that the
 // change is accepted. It returns its URL.
 func startBrokenOperatorAPI(t *testing.T, head string) string {
 	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			request, err := http.ReadRequest(bufio.NewReader(conn))
-			if err == nil && request.Method == http.MethodGet {
-				body := fmt.Sprintf(`{"revision":7,"changeId":"c7","document":%q}`, declarationText)
-				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"+body)
-			} else if err == nil {
-				_, _ = io.Copy(io.Discard, request.Body)
-				_, _ = io.WriteString(conn, head+"Connection: close\r\n\r\n"+`{"state":"accepted","revision":8}`)
-			}
-			_ = conn.Close()
+	return "http://" + rawserver.StartWithRequest(t, func(conn *net.TCPConn, request *http.Request) {
+		if request.Method == http.MethodGet {
+			body := fmt.Sprintf(`{"revision":7,"changeId":"c7","document":%q}`, declarationText)
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"+body)
+			return
 		}
-	}()
-	return "http://" + listener.Addr().String()
+		_, _ = io.Copy(io.Discard, request.Body)
+		_, _ = io.WriteString(conn, head+"Connection: close\r\n\r\n"+`{"state":"accepted","revision":8}`)
+	})
 }
 
 // Guards against an answer of the operator API that is none in HTTP and that a script takes for an accepted change.
--- a/internal/e2e/fleet_broken_answers_test.go
+++ b/internal/e2e/fleet_broken_answers_test.go
@@ -1,7 +1,6 @@
 package e2e
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -11,6 +10,7 @@
 
 	"github.com/oapi-codegen/nullable"
 
+	"github.com/cicadawall/cicadawall/internal/standin/rawserver"
 	"github.com/cicadawall/cicadawall/platform/wire"
 )
 
@@ -21,27 +21,11 @@
 // It answers each connection with the function, which gets the identifier of the connection's first request.
 func (f *fleet) startRawServer(service string, answer func(conn *net.TCPConn, id string)) {
 	f.t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	f.t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				if request, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-					answer(conn.(*net.TCPConn), request.Header.Get("Cicadawall-Request-Id"))
-				}
-			}()
-		}
-	}()
+	address := rawserver.StartWithRequest(f.t, func(conn *net.TCPConn, request *http.Request) {
+		answer(conn, request.Header.Get("Cicadawall-Request-Id"))
+	})
 	f.putServerRow("server-of-"+service, map[string]any{
-		"Service": service, "Address": listener.Addr().String(), "Zone": "zone-a", "State": "ready", "ColdRemainingMs": 0,
+		"Service": service, "Address": address, "Zone": "zone-a", "State": "ready", "ColdRemainingMs": 0,
 	})
 }
 
--- a/internal/httpconn/reset_test.go
+++ b/internal/httpconn/reset_test.go
@@ -9,6 +9,8 @@
 	"strconv"
 	"syscall"
 	"testing"
+
+	"github.com/cicadawall/cicadawall/internal/standin/rawserver"
 )
 
 // longUpload is more than the socket buffers of both ends hold, so that its writing is still under way while the peer does not read it.
@@ -71,33 +73,30 @@
 	}
 }
 
-// Guards against a reset that meets the write of a short request, before the answer is read.
-func TestResetBeforeShortUploadIsNoEndOfAnswer(t *testing.T) {
+// Guards against a reset that meets the write of a request before the answer is read, for requests that are written before and while the answer is read.
+func TestImmediateResetIsNoEndOfAnswer(t *testing.T) {
 	const requests = 200
-	address := startScriptedServer(t, repeat(requests, func(conn net.Conn, _ *bufio.Reader) {
+	address := rawserver.Start(t, func(conn *net.TCPConn, _ *bufio.Reader) {
 		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\npart")
 		reset(conn)
-	})...)
+	})
 	pool := NewPool(Options{})
-	for range requests {
-		response, err := pool.Do(t.Context(), uploadRequest(address, 1<<10))
-		if err != nil {
-			continue
+	for _, uploadBytes := range []int{1 << 10, 17 << 10, 3 << 20} {
+		complete := 0
+		for range requests {
+			response, err := pool.Do(t.Context(), uploadRequest(address, uploadBytes))
+			if err != nil {
+				continue
+			}
+			if _, err := io.ReadAll(response); err == nil {
+				complete++
+			}
+			response.Close()
 		}
-		if body, err := io.ReadAll(response); err == nil {
-			t.Errorf("%q was returned as a complete body", body)
+		if complete > 0 {
+			t.Errorf("upload of %d bytes: a part was returned as a complete body %d times in %d", uploadBytes, complete, requests)
 		}
-		response.Close()
-	}
-}
-
-// repeat returns the function n times.
-func repeat(n int, serve func(net.Conn, *bufio.Reader)) []func(net.Conn, *bufio.Reader) {
-	all := make([]func(net.Conn, *bufio.Reader), n)
-	for i := range all {
-		all[i] = serve
 	}
-	return all
 }
 
 // Guards against a complete answer that is taken for a broken one: without a length, after short and long uploads, and early ones.
--- a/internal/httpsend/broken_answer_test.go
+++ b/internal/httpsend/broken_answer_test.go
@@ -7,6 +7,8 @@
 	"strings"
 	"testing"
 	"unicode"
+
+	"github.com/cicadawall/cicadawall/internal/standin/rawserver"
 )
 
 // answerWith returns a server's function that writes the text once it has read the request, and reads the connection until the peer closes it.
@@ -22,7 +24,7 @@
 // checkBroken fails the test unless the answer is an error of a request that may have run.
 func checkBroken(t *testing.T, answer string) {
 	t.Helper()
-	response, err := New(Options{}).Do(post(t, t.Context(), startRawServer(t, answerWith(answer)), nil))
+	response, err := New(Options{}).Do(post(t, t.Context(), "http://"+rawserver.StartWithRequest(t, answerWith(answer)), nil))
 	if err == nil {
 		body, err := io.ReadAll(response.Body)
 		_ = response.Body.Close()
@@ -69,7 +71,7 @@
 		"HTTP/1.1 200 OK\r\nX: \xe9\r\n\r\nok",
 		"HTTP/1.1 103 Early Hints\r\nX!: 1\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX!: 1\r\n\r\n",
 	} {
-		response, err := New(Options{}).Do(post(t, t.Context(), startRawServer(t, answerWith(text)), nil))
+		response, err := New(Options{}).Do(post(t, t.Context(), "http://"+rawserver.StartWithRequest(t, answerWith(text)), nil))
 		if err != nil {
 			t.Errorf("%q: %v", text, err)
 			continue
@@ -84,7 +86,7 @@
 // Guards against interim answers without end that hold the request or fill the memory.
 func TestInterimAnswersWithoutEnd(t *testing.T) {
 	const interim = "HTTP/1.1 102 Processing\r\nX: 1\r\n\r\n"
-	url := startRawServer(t, func(conn *net.TCPConn, _ *http.Request) {
+	url := "http://" + rawserver.StartWithRequest(t, func(conn *net.TCPConn, _ *http.Request) {
 		for {
 			if _, err := io.WriteString(conn, strings.Repeat(interim, 100)); err != nil {
 				return
--- a/internal/httpsend/reset_test.go
+++ b/internal/httpsend/reset_test.go
@@ -1,47 +1,18 @@
 package httpsend
 
 import (
-	"bufio"
 	"context"
 	"io"
 	"net"
 	"net/http"
-	"sync"
 	"testing"
+
+	"github.com/cicadawall/cicadawall/internal/standin/rawserver"
 )
 
 // longUpload is more than the socket buffers of both ends hold, so that its writing is still under way while the peer does not read it.
 const longUpload = 32 << 20
 
-// startRawServer starts a server that runs the function on each connection once the head of the first request has been read, and returns its URL.
-func startRawServer(t *testing.T, serve func(conn *net.TCPConn, request *http.Request)) string {
-	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	var handlers sync.WaitGroup
-	handlers.Go(func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			handlers.Go(func() {
-				defer func() { _ = conn.Close() }()
-				if request, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-					serve(conn.(*net.TCPConn), request)
-				}
-			})
-		}
-	})
-	t.Cleanup(func() {
-		_ = listener.Close()
-		handlers.Wait()
-	})
-	return "http://" + listener.Addr().String()
-}
-
 // zeros is an endless body.
 type zeros struct{}
 
@@ -73,7 +44,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			answered, writeFailed, bodyRead := make(chan struct{}), make(chan struct{}), make(chan struct{})
-			url := startRawServer(t, func(conn *net.TCPConn, _ *http.Request) {
+			url := "http://" + rawserver.StartWithRequest(t, func(conn *net.TCPConn, _ *http.Request) {
 				_, _ = io.WriteString(conn, head+"part")
 				<-answered
 				_ = conn.SetLinger(0)
@@ -121,7 +92,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			received := make(chan struct{})
-			url := startRawServer(t, func(conn *net.TCPConn, request *http.Request) {
+			url := "http://" + rawserver.StartWithRequest(t, func(conn *net.TCPConn, request *http.Request) {
 				if !c.early {
 					_, _ = io.Copy(io.Discard, request.Body)
 				}
