--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -249,8 +249,8 @@
 	if errors.As(err, &failed) {
 		sent, staleConnection = failed.Sent, failed.ReusedConnection && !failed.Malformed
 	}
-	// A server closes idle connections, so a reused connection that fails at once is no evidence against the server, unless the server has sent bytes
-	// on it.
+	// A server closes idle connections, so a reused connection that fails at once is no evidence against the server, unless bytes came on it that are
+	// no answer.
 	staleConnection = staleConnection && time.Since(r.attemptStart) < staleConnectionTimeout
 	requestEnded := r.requestEnded(ctx)
 	result := backend.ResultFailure
--- a/internal/httpanswer/httpanswer.go
+++ b/internal/httpanswer/httpanswer.go
@@ -1,4 +1,5 @@
-// Package httpanswer checks what the parser of net/http lets through although it is no answer in HTTP. All that reads answers uses it.
+// Package httpanswer checks what the parser of net/http lets through although it is no answer in HTTP. Both packages that read answers, httpconn and
+// httpsend, use it.
 package httpanswer
 
 import (
