--- a/review/rig3/rig.go
+++ b/review/rig3/rig.go
@@ -71,6 +71,7 @@
 var (
 	processesMu sync.Mutex
 	processes   []*Node
+	tempDirs    []string
 )
 
 // Node is one machine with its process.
@@ -186,9 +187,25 @@
 	return lines
 }
 
+// TempDir returns a temporary folder, which is removed when the case ends.
+func TempDir() string {
+	dir, err := os.MkdirTemp("", "review-")
+	Check(err)
+	processesMu.Lock()
+	defer processesMu.Unlock()
+	tempDirs = append(tempDirs, dir)
+	return dir
+}
+
+// stopAll ends all processes and removes the temporary folders.
 func stopAll() {
 	processesMu.Lock()
 	defer processesMu.Unlock()
+	defer func() {
+		for _, dir := range tempDirs {
+			_ = os.RemoveAll(dir)
+		}
+	}()
 	for _, n := range processes {
 		if n.Running() {
 			_ = n.cmd.Process.Kill()
