--- a/review/rig3/model.go
+++ b/review/rig3/model.go
@@ -25,6 +25,8 @@
 	EventGap time.Duration
 	// DeadlyPart is the part of a prompt on which a server crashes when it begins to write its answer; empty if there is none.
 	DeadlyPart string
+	// HeadFirst lets a server send the head of its answer before it crashes.
+	HeadFirst bool
 	// DownTime is how long a crashed server is down.
 	DownTime  time.Duration
 	Heartbeat time.Duration
@@ -193,6 +195,12 @@
 		return
 	}
 	if deadly {
+		if m.options.HeadFirst {
+			w.Header().Set("Content-Type", "text/event-stream")
+			w.Header().Set("Cicadawall-Response-Seal", "3e1b.07.5a2.600.0."+strconv.FormatInt(time.Now().UnixNano(), 16))
+			w.Header().Set("Cicadawall-Confidence", "100")
+			_ = http.NewResponseController(w).Flush()
+		}
 		m.record.Printf("server %s crashes as it begins to write its answer to %s", s.id, id)
 		s.crash()
 		return
