--- a/review/13/driver/main.go
+++ b/review/13/driver/main.go
@@ -142,6 +142,10 @@
 	var group sync.WaitGroup
 	for _, server := range servers {
 		count := server.Written() - since[server]
+		if os.Getenv("REWRITE") == "once" {
+			// For comparison: each server writes its entry once.
+			count = 1
+		}
 		group.Add(1)
 		go func() {
 			defer group.Done()
--- a/review/rig3/rig.go
+++ b/review/rig3/rig.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -60,18 +61,25 @@
 // Trouble reports whether the case has its disruption.
 func Trouble() bool { return os.Getenv("TROUBLE") != "0" }
 
-// FreePort returns a port that is free on the address.
+// FreePort returns a port that is free on the address, below those that outgoing connections take.
 func FreePort(ip string) int {
-	listener, err := net.Listen("tcp4", ip+":0")
-	Check(err)
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().(*net.TCPAddr).Port
+	for range 200 {
+		port := 20000 + rand.IntN(12000)
+		if listener, err := net.Listen("tcp4", fmt.Sprintf("%s:%d", ip, port)); err == nil {
+			_ = listener.Close()
+			return port
+		}
+	}
+	Check(fmt.Errorf("no free port on %s", ip))
+	return 0
 }
 
 var (
 	processesMu sync.Mutex
 	processes   []*Node
 	tempDirs    []string
+	// stopping is set once the case ends; no process starts then.
+	stopping bool
 )
 
 // Node is one machine with its process.
@@ -129,13 +137,19 @@
 	n.cmd = exec.Command("target/cicadawall", "platform")
 	n.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "CICADAWALL_NODE_FILE=" + path}
 	n.cmd.Stdout, n.cmd.Stderr = log, log
-	Check(n.cmd.Start())
+	processesMu.Lock()
+	defer processesMu.Unlock()
+	if stopping {
+		return
+	}
+	if err := n.cmd.Start(); err != nil {
+		go Check(err)
+		return
+	}
 	exited := make(chan struct{})
 	n.Exited = exited
 	cmd := n.cmd
 	go func() { _ = cmd.Wait(); close(exited) }()
-	processesMu.Lock()
-	defer processesMu.Unlock()
 	processes = append(processes, n)
 }
 
@@ -201,6 +215,7 @@
 func stopAll() {
 	processesMu.Lock()
 	defer processesMu.Unlock()
+	stopping = true
 	defer func() {
 		for _, dir := range tempDirs {
 			_ = os.RemoveAll(dir)
