Compare evacuations only within an era of the store

Callers saw, in tests: an availability zone that was evacuated before the store came back from an older copy stayed closed for ever, because the row that took the evacuation back had a lower version than the one that began it.

Cause: as for manifests, versions of the store were compared as plain numbers.

Change: records of evacuations have positions, on the wire too. A zone whose row is missing in the first read of an era stays evacuated until the store shows that it was deleted, or for 30 s; one that had been opened stays open if the row of the copy is the one that had been deleted.

--- a/internal/api/peer.gen.go
+++ b/internal/api/peer.gen.go
@@ -299,6 +299,9 @@
 	// EndedAgeMillis Time since the sender learnt of the end in milliseconds.
 	EndedAgeMillis int64 `json:"endedAgeMillis,omitempty" yaml:"endedAgeMillis,omitempty"`
 
+	// Era Era of the store to which the revision belongs; absent if the store names none.
+	Era int64 `json:"era,omitempty" yaml:"era,omitempty"`
+
 	// Revision Version of the store as of the change.
 	Revision int64 `json:"revision" yaml:"revision"`
 }
--- a/internal/evacuation/record.go
+++ b/internal/evacuation/record.go
@@ -4,6 +4,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/cicadawall/cicadawall/internal/storepos"
 )
 
 const (
@@ -16,8 +18,8 @@
 // Record is the last known change of the evacuation of one availability zone.
 type Record struct {
 	Zone string
-	// Revision is the version of the store as of the change.
-	Revision int64
+	// Revision is the position of the store as of the change.
+	Revision storepos.Position
 	// Active is set while the zone is evacuated.
 	Active bool
 	// EndedAt is when the end of the evacuation was learnt; zero while the zone is evacuated.
@@ -26,15 +28,18 @@
 
 // valid reports whether a record from a peer can be used.
 func (r Record) valid() bool {
-	return r.Zone != "" && len(r.Zone) <= maxZoneBytes && r.Revision > 0
+	return r.Zone != "" && len(r.Zone) <= maxZoneBytes && r.Revision.Version() > 0
 }
 
+// ended reports whether the record says that an evacuation has ended.
+func (r Record) ended() bool { return r.Zone != "" && !r.Active }
+
 // supersedes reports whether a record replaces another one of the same zone. Of two records of one revision, an active one is the safer
 // one, and of two ends the earlier one was learnt first.
 func (r Record) supersedes(other Record) bool {
 	switch {
 	case r.Revision != other.Revision:
-		return r.Revision > other.Revision
+		return laterRevision(r.Revision, other.Revision)
 	case r.Active != other.Active:
 		return r.Active
 	default:
@@ -42,6 +47,14 @@
 	}
 }
 
+// laterRevision reports whether a is later than b. Instances of earlier releases name no era; with them, the versions are all there is to compare.
+func laterRevision(a, b storepos.Position) bool {
+	if (a.Era() == 0) != (b.Era() == 0) {
+		return a.Version() > b.Version()
+	}
+	return b.Precedes(a)
+}
+
 // View is an immutable copy of the records for decisions on requests. The nil View has no records.
 type View struct {
 	evacuated []string
--- a/internal/evacuation/table.go
+++ b/internal/evacuation/table.go
@@ -8,12 +8,17 @@
 	"time"
 
 	"github.com/cicadawall/cicadawall/internal/lockorder"
+	"github.com/cicadawall/cicadawall/internal/storepos"
 )
 
 // EndsUnknownTime is how long a new process that no peer has told of earlier evacuations must expect that one has ended just before. By
 // then the rows of the zone's servers say that they are cold: they are written every 1.2 s, and arrive within half a second.
 const EndsUnknownTime = 1700 * time.Millisecond
 
+// rewriteTime is how long an evacuation of an earlier era of the store lasts although its row is missing. The operator writes the row again, or
+// deletes it, after the store's return; only if both happened before the first read must the time pass.
+const rewriteTime = 30 * time.Second
+
 // Options of a Table. All fields are required.
 type Options struct {
 	// Started is when the process started.
@@ -28,8 +33,11 @@
 	mu      *lockorder.RWMutex
 	records map[string]Record
 	view    *View
-	// readThrough is the revision of the newest complete read of the operator's rows.
-	readThrough int64
+	// readThrough is the position of the newest complete read of the operator's rows, and eraReadAt is when the first one of its era was made.
+	readThrough storepos.Position
+	eraReadAt   time.Time
+	// rows holds the position of the last row that evacuated each zone.
+	rows map[string]storepos.Position
 	// known is set once this instance has read all evacuations, and endsKnown once it also knows those that ended before its start.
 	known, endsKnown bool
 	// recorded holds the zones of which the store records that they were evacuated.
@@ -38,27 +46,43 @@
 
 // NewTable returns a table without records.
 func NewTable(options Options) *Table {
-	return &Table{Options: options, mu: lockorder.NewRW(lockorder.RankEvacuations), records: map[string]Record{}, recorded: map[string]bool{}}
+	return &Table{Options: options, mu: lockorder.NewRW(lockorder.RankEvacuations), records: map[string]Record{}, recorded: map[string]bool{},
+		rows: map[string]storepos.Position{}}
 }
 
-// Begin records that the store holds the evacuation of the zone in a row of the given revision.
-func (t *Table) Begin(zone string, revision int64) {
+// Begin records that the store holds the evacuation of the zone in a row at the revision. If the evacuation had ended in an earlier era, and the row has
+// the version that it had then, the row comes from the copy with which the era began, and the evacuation has still ended.
+func (t *Table) Begin(zone string, revision storepos.Position) {
+	t.mu.Lock()
+	row := t.rows[zone]
+	copied := t.records[zone].ended() && !row.SameEra(revision) && row.Version() == revision.Version()
+	if !copied {
+		t.rows[zone] = revision
+	}
+	t.mu.Unlock()
+	if copied {
+		return
+	}
 	t.mergeAll([]Record{{Zone: zone, Revision: revision, Active: true}}, "store")
 }
 
 // End records that the store deleted the evacuation of the zone at the revision.
-func (t *Table) End(zone string, revision int64, now time.Time) {
+func (t *Table) End(zone string, revision storepos.Position, now time.Time) {
 	t.mergeAll([]Record{{Zone: zone, Revision: revision, EndedAt: now}}, "store")
 }
 
-// EndMissing records a complete read of the operator's rows: the evacuations of all other zones had ended at its revision.
-func (t *Table) EndMissing(present []string, revision int64, now time.Time) {
+// EndMissing records a complete read of the operator's rows: the evacuations of all other zones had ended at its revision. Those of earlier eras
+// last until EndUnconfirmed, because the store may have lost their rows.
+func (t *Table) EndMissing(present []string, revision storepos.Position, now time.Time) {
 	t.mu.Lock()
 	t.known = true
-	t.readThrough = max(t.readThrough, revision)
+	if t.eraReadAt.IsZero() || !t.readThrough.SameEra(revision) {
+		t.readThrough, t.eraReadAt = revision, now
+	}
+	t.readThrough = storepos.Later(t.readThrough, revision)
 	var missing []Record
 	for zone, record := range t.records {
-		if record.Active && !slices.Contains(present, zone) {
+		if record.Active && !slices.Contains(present, zone) && !t.mayBeRewritten(record, now) {
 			missing = append(missing, Record{Zone: zone, Revision: revision, EndedAt: now})
 		}
 	}
@@ -66,13 +90,36 @@
 	t.mergeAll(missing, "store")
 }
 
+// EndUnconfirmed ends the evacuations of earlier eras whose rows were not written again in time.
+func (t *Table) EndUnconfirmed(now time.Time) {
+	t.mu.Lock()
+	var ended []Record
+	for zone, record := range t.records {
+		if record.Active && t.ofEarlierEra(record) && !t.mayBeRewritten(record, now) {
+			ended = append(ended, Record{Zone: zone, Revision: t.readThrough, EndedAt: now})
+		}
+	}
+	t.mu.Unlock()
+	t.mergeAll(ended, "store")
+}
+
+// ofEarlierEra reports whether the record is of an earlier era than the last complete read. The caller holds the lock.
+func (t *Table) ofEarlierEra(record Record) bool {
+	return record.Revision.Precedes(t.readThrough) && !record.Revision.SameEra(t.readThrough)
+}
+
+// mayBeRewritten reports whether the row of an evacuation may be missing only because the store lost it. The caller holds the lock.
+func (t *Table) mayBeRewritten(record Record, now time.Time) bool {
+	return t.ofEarlierEra(record) && now.Before(t.eraReadAt.Add(rewriteTime))
+}
+
 // Merge adds the records that a peer reported. An evacuation is ignored if its revision is not newer than that of a complete read, which
-// showed whether it was in force: the peer may not have learnt of its end.
-func (t *Table) Merge(records []Record, source string) {
+// showed whether it was in force: the peer may not have learnt of its end. One of an earlier era may have been missing there because the store lost it.
+func (t *Table) Merge(records []Record, source string, now time.Time) {
 	t.mu.RLock()
 	usable := make([]Record, 0, len(records))
 	for _, record := range records[:min(len(records), MaxRecords)] {
-		if record.valid() && (!record.Active || record.Revision > t.readThrough) {
+		if record.valid() && (!record.Active || laterRevision(record.Revision, t.readThrough) || t.mayBeRewritten(record, now)) {
 			usable = append(usable, record)
 		}
 	}
@@ -164,7 +211,8 @@
 			}
 			return 1
 		}
-		return cmp.Or(cmp.Compare(b.Revision, a.Revision), cmp.Compare(a.Zone, b.Zone))
+		return cmp.Or(cmp.Compare(b.Revision.Era(), a.Revision.Era()), cmp.Compare(b.Revision.Version(), a.Revision.Version()),
+			cmp.Compare(a.Zone, b.Zone))
 	})
 	return records[:min(len(records), MaxRecords)]
 }
@@ -207,7 +255,7 @@
 	for len(t.records) > MaxRecords {
 		oldest, found := Record{}, false
 		for _, record := range t.records {
-			if !record.Active && (!found || record.Revision < oldest.Revision) {
+			if !record.Active && (!found || laterRevision(oldest.Revision, record.Revision)) {
 				oldest, found = record, true
 			}
 		}
@@ -215,5 +263,6 @@
 			return
 		}
 		delete(t.records, oldest.Zone)
+		delete(t.rows, oldest.Zone)
 	}
 }
--- a/internal/exchange/evacuations_test.go
+++ b/internal/exchange/evacuations_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/cicadawall/cicadawall/internal/storepos"
 )
 
 // Guards against an instance that starts while the store is unavailable and uses the configuration and the servers of a peer, but not the
@@ -13,8 +15,8 @@
 		n := newNetwork()
 		knowing := n.add("knowing", false)
 		knowing.AdoptConfiguration([]byte("7"), "store")
-		knowing.Evacuations.Begin("zone-a", 3)
-		knowing.Evacuations.EndMissing([]string{"zone-a"}, 4, time.Now())
+		knowing.Evacuations.Begin("zone-a", storepos.At(1, 3))
+		knowing.Evacuations.EndMissing([]string{"zone-a"}, storepos.At(1, 4), time.Now())
 		ignorant := n.add("ignorant", true)
 		ignorant.AdoptConfiguration([]byte("7"), "store")
 		late := n.add("late", true, "ignorant")
@@ -28,7 +30,7 @@
 			t.Errorf("version %d, evacuations %+v", late.Configurations.Version(), late.Evacuations.Records())
 		}
 		<-time.After(time.Second)
-		knowing.Evacuations.End("zone-a", 5, time.Now())
+		knowing.Evacuations.End("zone-a", storepos.At(1, 5), time.Now())
 		endedAt := time.Now()
 		<-time.After(time.Second)
 		round(t, knowing)
--- a/internal/gateway/cold_test.go
+++ b/internal/gateway/cold_test.go
@@ -12,6 +12,7 @@
 	"github.com/cicadawall/cicadawall/internal/coldstart"
 	"github.com/cicadawall/cicadawall/internal/evacuation"
 	"github.com/cicadawall/cicadawall/internal/routing"
+	"github.com/cicadawall/cicadawall/internal/storepos"
 )
 
 const (
@@ -102,8 +103,8 @@
 			attempt.End(backend.ResultUnreachable, time.Now())
 		},
 		"evacuation ended": func(g *Gateway) {
-			g.Evacuations.Begin("zone", 1)
-			g.Evacuations.End("zone", 2, time.Now())
+			g.Evacuations.Begin("zone", storepos.At(0, 1))
+			g.Evacuations.End("zone", storepos.At(0, 2), time.Now())
 		},
 		"process started": func(g *Gateway) {
 			g.Evacuations = evacuation.NewTable(evacuation.Options{Started: time.Now(), Log: discardLog})
--- a/internal/gateway/evacuation_test.go
+++ b/internal/gateway/evacuation_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/cicadawall/cicadawall/internal/api"
 	"github.com/cicadawall/cicadawall/internal/backend"
+	"github.com/cicadawall/cicadawall/internal/storepos"
 )
 
 var discardLog = slog.New(slog.NewJSONHandler(io.Discard, nil))
@@ -29,7 +30,7 @@
 		for _, id := range []string{"evacuated-1", "evacuated-2"} {
 			g.Directory.Put(backend.Entry{ID: id, Service: "desk", AvailabilityZone: "gone", Slots: 4}, time.Now())
 		}
-		g.Evacuations.Begin("gone", 1)
+		g.Evacuations.Begin("gone", storepos.At(0, 1))
 		g.Serve(t.Context(), &Request{ID: "r", Host: "h", Path: "/look/x", Key: "key", Arrived: time.Now()}, caller)
 		for _, attempt := range backends.attempts {
 			if attempt.Server.AvailabilityZone == "gone" {
@@ -50,7 +51,7 @@
 
 func (e *evacuatingBackends) Send(ctx context.Context, attempt Attempt) (*Reply, error) {
 	if len(e.attempts) == 0 {
-		e.gateway.Evacuations.Begin(attempt.Server.AvailabilityZone, 1)
+		e.gateway.Evacuations.Begin(attempt.Server.AvailabilityZone, storepos.At(0, 1))
 	}
 	return e.scriptedBackends.Send(ctx, attempt)
 }
@@ -100,7 +101,7 @@
 		if refusal != nil || !job.serverAccepts(time.Now()) {
 			t.Fatal("the server does not accept the request before the evacuation")
 		}
-		g.Evacuations.Begin("gone", 1)
+		g.Evacuations.Begin("gone", storepos.At(0, 1))
 		if job.serverAccepts(time.Now()) {
 			t.Error("a server of an evacuated zone accepts the request")
 		}
