Let roll-outs outlast a return of the store from an older copy

Callers and operators saw, in tests: a roll-out under way when the store came back from an older copy was never recorded again, neither completed nor rolled back; a final state that the store had lost stayed lost; an order for another version was never followed if its row had a lower version than the order in force.

Cause: as for manifests: orders, recorded states, events of versions and conditions of writes were compared by version. Their positions cannot simply be ordered by era: the copy shows older rows again, and a version that was rolled back would count as ordered since.

Change: storepos.History bounds the rows that come from the copy, by the first position that an instance reads in an era; instances exchange the lowest bound. A row below it keeps the place that it had. An order that is written again keeps its revision, start and evidence; states are written again under conditions of the newest era, and nothing is written for an order that the operator has not written again.

--- a/internal/api/peer.gen.go
+++ b/internal/api/peer.gen.go
@@ -261,6 +261,9 @@
 	// LogSum Sum of the natural logarithms of the response times in milliseconds.
 	LogSum float64 `json:"logSum,omitempty" yaml:"logSum,omitempty"`
 
+	// OrderEra Era of the store to which orderRevision belongs; absent if the store names none.
+	OrderEra int64 `json:"orderEra,omitempty" yaml:"orderEra,omitempty"`
+
 	// OrderRevision Revision of the migration order since which the answers are counted.
 	OrderRevision int64  `json:"orderRevision,omitempty" yaml:"orderRevision,omitempty"`
 	Service       string `json:"service" yaml:"service"`
@@ -290,6 +293,14 @@
 	Service string `json:"service" yaml:"service"`
 }
 
+// GatewayEraStart Bound of the rows that come from the copy with which an era of the store began.
+type GatewayEraStart struct {
+	Era int64 `json:"era" yaml:"era"`
+
+	// Version Rows above this version were written in the era.
+	Version int64 `json:"version" yaml:"version"`
+}
+
 // GatewayEvacuation Last known change of the evacuation of an availability zone.
 type GatewayEvacuation struct {
 	// Active Whether the zone is evacuated.
@@ -435,13 +446,25 @@
 // GatewayMigration Migration of a service to a target version as the sender knows it.
 type GatewayMigration struct {
 	// AgeMillis Time since the migration was ordered in milliseconds.
-	AgeMillis      int64  `json:"ageMillis" yaml:"ageMillis"`
-	DurationMillis int64  `json:"durationMillis" yaml:"durationMillis"`
-	Revision       int64  `json:"revision" yaml:"revision"`
-	Service        string `json:"service" yaml:"service"`
-	State          string `json:"state,omitempty" yaml:"state,omitempty"`
-	StateRevision  int64  `json:"stateRevision,omitempty" yaml:"stateRevision,omitempty"`
-	StateTarget    string `json:"stateTarget,omitempty" yaml:"stateTarget,omitempty"`
+	AgeMillis      int64 `json:"ageMillis" yaml:"ageMillis"`
+	DurationMillis int64 `json:"durationMillis" yaml:"durationMillis"`
+
+	// Era Era of the store to which the revision belongs; absent if the store names none.
+	Era           int64  `json:"era,omitempty" yaml:"era,omitempty"`
+	Revision      int64  `json:"revision" yaml:"revision"`
+	Service       string `json:"service" yaml:"service"`
+	State         string `json:"state,omitempty" yaml:"state,omitempty"`
+	StateRevision int64  `json:"stateRevision,omitempty" yaml:"stateRevision,omitempty"`
+
+	// StateRevisionEra Era of the store to which stateRevision belongs; absent if the store names none.
+	StateRevisionEra int64 `json:"stateRevisionEra,omitempty" yaml:"stateRevisionEra,omitempty"`
+
+	// StateRow Version of the row in which the sender last found the state in the store. The store may have written it again, or come back from an older copy.
+	StateRow int64 `json:"stateRow,omitempty" yaml:"stateRow,omitempty"`
+
+	// StateRowEra Era of the store to which stateRow belongs; absent if the store names none.
+	StateRowEra int64  `json:"stateRowEra,omitempty" yaml:"stateRowEra,omitempty"`
+	StateTarget string `json:"stateTarget,omitempty" yaml:"stateTarget,omitempty"`
 
 	// Suspect Whether the sender found that the target version performs badly.
 	Suspect bool   `json:"suspect,omitempty" yaml:"suspect,omitempty"`
@@ -456,6 +479,9 @@
 	// ClockMillis Time by the monotonic clock of the store in milliseconds.
 	ClockMillis int64 `json:"clockMillis" yaml:"clockMillis"`
 
+	// Era Era of the store to which the revision belongs; absent if the store names none.
+	Era int64 `json:"era,omitempty" yaml:"era,omitempty"`
+
 	// Revision Revision of the migration order.
 	Revision int64 `json:"revision" yaml:"revision"`
 }
@@ -588,6 +614,9 @@
 	// Crashes Crashes that the sender knows, if the digest of the query differs from its own.
 	Crashes []GatewayCrash `json:"crashes,omitempty" yaml:"crashes,omitempty"`
 
+	// EraStarts Bounds of the rows with which the last eras of the store began; absent if it never came back from an older copy.
+	EraStarts []GatewayEraStart `json:"eraStarts,omitempty" yaml:"eraStarts,omitempty"`
+
 	// EvacuationEndsKnown Whether the sender also knows the evacuations that ended recently.
 	EvacuationEndsKnown bool `json:"evacuationEndsKnown,omitempty" yaml:"evacuationEndsKnown,omitempty"`
 
@@ -659,6 +688,9 @@
 
 // GatewayVersion Last known event of a software version of a service, which is its order, its completion or its rollback.
 type GatewayVersion struct {
+	// Era Era of the store to which the revision belongs; absent if the store names none.
+	Era int64 `json:"era,omitempty" yaml:"era,omitempty"`
+
 	// Revision Revision of the event.
 	Revision int64  `json:"revision" yaml:"revision"`
 	Version  string `json:"version" yaml:"version"`
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -74,6 +74,8 @@
 	// them.
 	OperatorFollower *rowfeed.Follower
 	ServersFollower  *rowfeed.Follower
+	// History holds what the instances know together of the eras of the store.
+	History *storepos.History
 	// StoreUnavailable reports whether the store is unavailable to this instance.
 	StoreUnavailable func(now time.Time) bool
 	Log              *slog.Logger
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -76,7 +76,7 @@
 			version, _ := strconv.ParseInt(string(document), 10, 64)
 			configurations.Adopt((&gateway.Configuration{Version: version, Document: document}).Compile())
 		},
-		StoreUnavailable: func(time.Time) bool { return storeUnavailable }, Log: log,
+		History: storepos.NewHistory(), StoreUnavailable: func(time.Time) bool { return storeUnavailable }, Log: log,
 	})
 	n.nodes[address] = node
 	return node
@@ -125,7 +125,7 @@
 		for i := range instances {
 			addresses = append(addresses, "peer-"+strconv.Itoa(i))
 		}
-		order := migration.Order{Service: "desk", Target: "v2", Duration: time.Minute, Revision: 1}
+		order := migration.Order{Service: "desk", Target: "v2", Duration: time.Minute, Revision: storepos.At(0, 1)}
 		var nodes []*Exchange
 		for _, address := range addresses {
 			node := n.add(address, false, addresses...)
--- a/internal/exchange/merge.go
+++ b/internal/exchange/merge.go
@@ -15,6 +15,10 @@
 // table that peers have seen. The peer's server list is merged only if useServers is set, because the list may be older
 // than this instance's if this instance is up to date.
 func (e *Exchange) mergeState(address string, state api.GatewayState, useServers bool, now time.Time) bool {
+	for _, start := range state.EraStarts {
+		// Positions in the rest of the state are compared by it.
+		e.History.Limit(storepos.At(start.Era, start.Version))
+	}
 	// Evacuations come first: neither a configuration nor servers of this peer are used before.
 	e.mergeEvacuations(address, state.Evacuations, now)
 	if state.EvacuationsKnown {
@@ -99,7 +103,7 @@
 	}
 	counts := make(map[migration.Key]migration.Count, len(reported))
 	for _, c := range reported {
-		key := migration.Key{Service: c.Service, Version: c.Version, Class: c.Class, OrderRevision: c.OrderRevision}
+		key := migration.Key{Service: c.Service, Version: c.Version, Class: c.Class, OrderRevision: storepos.At(c.OrderEra, c.OrderRevision)}
 		counts[key] = migration.Count{Answers: c.Answers, Bad: c.BadAnswers, LogSum: c.LogSum, LogSquares: c.SquaredLogSum,
 			StartTimes: migration.HistogramOf(c.StartTimes)}
 	}
@@ -157,18 +161,22 @@
 // mergeMigration merges what a peer knows of the migration of a service: order, recorded state and suspected versions.
 func (e *Exchange) mergeMigration(m api.GatewayMigration, now time.Time) {
 	order := migration.Order{
-		Service: m.Service, Target: m.Target, Revision: m.Revision, Duration: time.Duration(m.DurationMillis) * time.Millisecond,
+		Service: m.Service, Target: m.Target, Revision: storepos.At(m.Era, m.Revision), Duration: time.Duration(m.DurationMillis) * time.Millisecond,
 	}
 	for _, v := range m.Versions {
-		e.Migrations.AddVersionRecord(m.Service, migration.VersionRecord{Version: v.Version, Revision: v.Revision, Withdrawn: v.Withdrawn})
+		e.Migrations.AddVersionRecord(m.Service, migration.VersionRecord{
+			Version: v.Version, Revision: storepos.At(v.Era, v.Revision), Withdrawn: v.Withdrawn,
+		})
 	}
 	if order.Target != "" {
 		e.Migrations.AddOrder(order, time.Duration(m.AgeMillis)*time.Millisecond, now)
 	}
 	if m.StateRevision > 0 {
-		e.Migrations.ApplyStatus(migration.Status{
-			Service: m.Service, Target: m.StateTarget, State: migration.State(m.State), Revision: m.StateRevision,
-		})
+		status := migration.Status{
+			Service: m.Service, Target: m.StateTarget, State: migration.State(m.State), Revision: storepos.At(m.StateRevisionEra, m.StateRevision),
+		}
+		e.Migrations.ApplyStatus(status)
+		e.Migrations.ConfirmStatus(status, storepos.At(m.StateRowEra, m.StateRow))
 	}
 	if m.Suspect {
 		e.Migrations.MarkSuspect(order)
--- a/internal/exchange/state.go
+++ b/internal/exchange/state.go
@@ -31,6 +31,9 @@
 		Evacuations: e.knownEvacuations(now), EvacuationsKnown: e.Evacuations.Known(),
 		EvacuationEndsKnown: e.Evacuations.EndsKnownFrom(now).IsZero(),
 	}
+	for _, start := range e.History.Starts() {
+		state.EraStarts = append(state.EraStarts, api.GatewayEraStart{Era: start.Era(), Version: start.Version()})
+	}
 	if query.CrashDigest != e.Crashes.Digest() {
 		state.Crashes = encodeCrashes(e.Crashes.Crashes(time.Time{}), now)
 	}
@@ -44,8 +47,10 @@
 	for _, view := range e.Migrations.Views(now) {
 		state.Migrations = append(state.Migrations, api.GatewayMigration{
 			Service: cmp.Or(view.Order.Service, view.Status.Service), Target: view.Order.Target, DurationMillis: view.Order.Duration.Milliseconds(),
-			Revision: view.Order.Revision, AgeMillis: view.Age.Milliseconds(), Suspect: view.Suspect,
-			State: string(view.Status.State), StateTarget: view.Status.Target, StateRevision: view.Status.Revision,
+			Revision: view.Order.Revision.Version(), Era: view.Order.Revision.Era(), AgeMillis: view.Age.Milliseconds(), Suspect: view.Suspect,
+			State: string(view.Status.State), StateTarget: view.Status.Target,
+			StateRevision: view.Status.Revision.Version(), StateRevisionEra: view.Status.Revision.Era(),
+			StateRow: view.Confirmed.Version(), StateRowEra: view.Confirmed.Era(),
 			Versions: encodeVersions(view.Versions),
 		})
 	}
@@ -67,7 +72,9 @@
 func encodeVersions(records []migration.VersionRecord) []api.GatewayVersion {
 	versions := make([]api.GatewayVersion, 0, len(records))
 	for _, r := range records {
-		versions = append(versions, api.GatewayVersion{Version: r.Version, Revision: r.Revision, Withdrawn: r.Withdrawn})
+		versions = append(versions, api.GatewayVersion{
+			Version: r.Version, Revision: r.Revision.Version(), Era: r.Revision.Era(), Withdrawn: r.Withdrawn,
+		})
 	}
 	return versions
 }
@@ -85,7 +92,7 @@
 	var counts []api.GatewayCount
 	for key, count := range e.Migrations.LocalCounts() {
 		counts = append(counts, api.GatewayCount{
-			Service: key.Service, OrderRevision: key.OrderRevision, Version: key.Version, Class: key.Class,
+			Service: key.Service, OrderRevision: key.OrderRevision.Version(), OrderEra: key.OrderRevision.Era(), Version: key.Version, Class: key.Class,
 			Answers: count.Answers, BadAnswers: count.Bad, LogSum: count.LogSum, SquaredLogSum: count.LogSquares,
 			StartTimes: count.StartTimes.Counts(),
 		})
--- a/internal/gateway/explain_test.go
+++ b/internal/gateway/explain_test.go
@@ -21,6 +21,7 @@
 	"github.com/cicadawall/cicadawall/internal/backend"
 	"github.com/cicadawall/cicadawall/internal/crashguard"
 	"github.com/cicadawall/cicadawall/internal/migration"
+	"github.com/cicadawall/cicadawall/internal/storepos"
 )
 
 // oneIn reports true once in n calls on average.
@@ -100,10 +101,10 @@
 	versions := migration.NewTable(0.15)
 	versions.SetSlack(40, func() int { return instances }, time.Time{})
 	if oneIn(2, rng) {
-		versions.AddOrder(migration.Order{Service: "desk", Target: "v2", Duration: 20 * time.Second, Revision: 1}, seconds(25, rng), now)
+		versions.AddOrder(migration.Order{Service: "desk", Target: "v2", Duration: 20 * time.Second, Revision: storepos.At(0, 1)}, seconds(25, rng), now)
 	}
 	if oneIn(8, rng) {
-		versions.ApplyStatus(migration.Status{Service: "desk", Target: "v2", State: migration.StateRolledBack, Revision: 2})
+		versions.ApplyStatus(migration.Status{Service: "desk", Target: "v2", State: migration.StateRolledBack, Revision: storepos.At(0, 2)})
 	}
 	g.Versions = versions
 	if oneIn(8, rng) {
--- a/internal/lockorder/order.go
+++ b/internal/lockorder/order.go
@@ -28,6 +28,7 @@
 	RankRetryBudgets   Rank = 100
 	RankLeases         Rank = 103
 	RankDuties         Rank = 105
+	RankStoreHistory   Rank = 107
 	RankTelemetry      Rank = 110
 	RankPlatformClient Rank = 115
 	// RankStandin is the rank of every table of the stand-ins; no goroutine holds the locks of two of them.
--- a/internal/migration/completion_test.go
+++ b/internal/migration/completion_test.go
@@ -4,6 +4,8 @@
 	"strconv"
 	"testing"
 	"time"
+
+	"github.com/cicadawall/cicadawall/internal/storepos"
 )
 
 // Guards against a bad version that is completed for want of evidence, after which it cannot be rolled back (review case 4, EXPOSURE): an
@@ -22,7 +24,7 @@
 	} {
 		table := NewTable(0.15)
 		table.AddOrder(ordered("v2", 10), 0, origin)
-		table.ApplyStatus(Status{Service: service, Target: "v2", State: StateRunning, Revision: 11})
+		table.ApplyStatus(Status{Service: service, Target: "v2", State: StateRunning, Revision: storepos.At(0, 11)})
 		for n := range c.answers {
 			table.Observe(service, "v2", "buy/", n < c.bad, 100*time.Millisecond)
 		}
@@ -67,13 +69,13 @@
 // gets more requests than the exposure allows: 18 requests a second at seven instances, with an order of 12 s.
 func TestServiceWithFewRequestsIsTriedInTime(t *testing.T) {
 	const exposure, slack, instances, perSecond = 0.15, 30, 7, 18
-	order := Order{Service: service, Target: "v2", Duration: 12 * time.Second, Revision: 10}
+	order := Order{Service: service, Target: "v2", Duration: 12 * time.Second, Revision: storepos.At(0, 10)}
 	var tables []*Table
 	for range instances {
 		table := NewTable(exposure)
 		table.SetSlack(slack, func() int { return instances }, time.Time{})
 		table.AddOrder(order, 0, origin)
-		table.ApplyStatus(Status{Service: service, Target: "v2", State: StateRunning, Revision: 11})
+		table.ApplyStatus(Status{Service: service, Target: "v2", State: StateRunning, Revision: storepos.At(0, 11)})
 		tables = append(tables, table)
 	}
 	exposed, all := 0, 0
@@ -106,7 +108,7 @@
 // Guards against an instance that takes the whole slack of the fleet while it does not know how many instances share it.
 func TestNoSlackWhileTheFleetIsUnknown(t *testing.T) {
 	const requests = 1000
-	order := Order{Service: service, Target: "v2", Duration: 12 * time.Second, Revision: 10}
+	order := Order{Service: service, Target: "v2", Duration: 12 * time.Second, Revision: storepos.At(0, 10)}
 	for _, instances := range []int{0, 1} {
 		table := NewTable(0)
 		table.SetSlack(30, func() int { return instances }, time.Time{})
--- a/internal/migration/decide.go
+++ b/internal/migration/decide.go
@@ -3,6 +3,8 @@
 import (
 	"strings"
 	"time"
+
+	"github.com/cicadawall/cicadawall/internal/storepos"
 )
 
 // PaceClassSuffix marks the classes of evidence on the pace of streams. The times of other classes are those until the answer began.
@@ -11,8 +13,9 @@
 // Decision is a state that must be recorded for a service.
 type Decision struct {
 	Status Status
-	// PreviousRevision is the revision of the record to be replaced, or 0 if there is none.
-	PreviousRevision int64
+	// PreviousRow is the position of the recorded state to be replaced, with version 0 if there is none. It is of an earlier era than OrderRow if the
+	// recorded states must be read before.
+	PreviousRow storepos.Position
 	// NewCount and OldCount are the counts of the new and the old versions on which the decision is based.
 	NewCount Count
 	OldCount Count
@@ -21,19 +24,24 @@
 	// Order is the order to which the decision applies, and OrderAge is the time since it was given.
 	Order    Order
 	OrderAge time.Duration
+	// OrderRow is the position of the order's row in the newest era of the store.
+	OrderRow storepos.Position
 }
 
 // Decide returns the states that must be recorded now. A version found bad is avoided at once, before its rollback is
-// recorded.
+// recorded. A state that the store has lost is recorded again. Nothing is recorded for an order whose row the newest era of the store has not shown.
 func (t *Table) Decide(now time.Time) []Decision {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var decisions []Decision
-	for service, r := range t.migrations {
-		if r.order.Target == "" || r.finished() {
+	for _, r := range t.migrations {
+		if r.order.Target == "" || r.finished(t.history) && t.history.Current(r.confirmed) {
+			continue
+		}
+		if !t.history.Current(r.row) {
 			continue
 		}
-		if decision, ok := t.decide(service, r, now); ok {
+		if decision, ok := t.decide(r, now); ok {
 			decisions = append(decisions, decision)
 		}
 	}
@@ -46,35 +54,48 @@
 	defer t.mu.Unlock()
 	overdue := 0
 	for _, r := range t.migrations {
-		if r.order.Target != "" && !r.finished() && now.Sub(r.started) > r.order.Duration {
+		if r.order.Target != "" && !r.finished(t.history) && now.Sub(r.started) > r.order.Duration {
 			overdue++
 		}
 	}
 	return overdue
 }
 
-func (t *Table) decide(service string, r *serviceMigration, now time.Time) (Decision, bool) {
+func (t *Table) decide(r *serviceMigration, now time.Time) (Decision, bool) {
+	if r.finished(t.history) {
+		return t.decision(r, r.status.State, now), true
+	}
 	lightlyLoaded := !t.schedule.mayComplete(r.elapsedFraction(now))
 	newCount, oldCount, finding := t.compare(r.order, lightlyLoaded, t.startedAfter(r))
 	if finding == findingBad {
 		r.suspect = true
 	}
-	decision := Decision{
-		PreviousRevision: r.status.Revision, NewCount: newCount, OldCount: oldCount, ElapsedFraction: r.elapsedFraction(now),
-		Order: r.order, OrderAge: now.Sub(r.started),
-	}
-	decision.Status = Status{Service: service, Target: r.order.Target, State: StateRunning}
+	decision := t.decision(r, StateRunning, now)
+	decision.NewCount, decision.OldCount = newCount, oldCount
 	switch {
 	case r.suspect:
 		decision.Status.State = StateRolledBack
 	case t.schedule.mayComplete(decision.ElapsedFraction) && finding.allowsCompletion(decision.OrderAge-r.order.Duration):
 		decision.Status.State = StateCompleted
-	case r.statusIsForOrder():
+	case r.statusIsForOrder(t.history) && t.history.Current(r.confirmed):
 		return Decision{}, false
 	}
 	return decision, true
 }
 
+// decision returns the decision to record a state of the current order. The caller holds the lock.
+func (t *Table) decision(r *serviceMigration, state State, now time.Time) Decision {
+	decision := Decision{
+		Status: Status{Service: r.order.Service, Target: r.order.Target, State: state}, PreviousRow: r.stored,
+		ElapsedFraction: r.elapsedFraction(now), Order: r.order, OrderAge: now.Sub(r.started), OrderRow: r.row,
+	}
+	if r.stored.IsZero() && !t.history.Returned() {
+		// No state of the service is known, and none can have been lost.
+		decision.PreviousRow = t.history.Newest()
+	}
+	return decision
+}
+
 // compare sums the counts of all instances since the order and tests them in total and for each class. The start and the pace of answers
 // are tested apart. If the new version is lightly loaded, the starts of its streams are also compared with those on lightly loaded servers;
 // the times of plain answers differ for other reasons than waiting. If this process started after the order, answers given before are not known,
@@ -83,7 +104,7 @@
 	newByClass, oldByClass := map[string]Count{}, map[string]Count{}
 	add := func(counts map[Key]Count) {
 		for key, count := range counts {
-			if key.Service != order.Service || key.OrderRevision != order.Revision {
+			if key.Service != order.Service || !t.history.Same(key.OrderRevision, order.Revision) {
 				continue
 			}
 			if key.Version == order.Target {
@@ -161,6 +182,8 @@
 	Suspect bool
 	// Versions are the last events of the versions of the service.
 	Versions []VersionRecord
+	// Confirmed is where the state was last found in the store.
+	Confirmed storepos.Position
 }
 
 // Views returns a copy of all migrations.
@@ -169,7 +192,8 @@
 	defer t.mu.Unlock()
 	views := make([]View, 0, len(t.migrations))
 	for _, r := range t.migrations {
-		views = append(views, View{Order: r.order, Status: r.status, Age: now.Sub(r.started), Suspect: r.suspect, Versions: r.versions.all()})
+		views = append(views, View{Order: r.order, Status: r.status, Age: now.Sub(r.started), Suspect: r.suspect, Versions: r.versions.all(),
+			Confirmed: r.confirmed})
 	}
 	return views
 }
@@ -178,7 +202,7 @@
 func (t *Table) MarkSuspect(order Order) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if r, ok := t.migrations[order.Service]; ok && r.order.Revision == order.Revision {
+	if r, ok := t.migrations[order.Service]; ok && t.history.Same(r.order.Revision, order.Revision) {
 		r.suspect = true
 	}
 }
--- a/internal/migration/loadtest_test.go
+++ b/internal/migration/loadtest_test.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"testing"
 	"time"
+
+	"github.com/cicadawall/cicadawall/internal/storepos"
 )
 
 // plainMigration plays the migration of a service without sessions: requests at a constant rate, except for a burst, at instances that exchange
@@ -39,14 +41,14 @@
 
 func (m plainMigration) play() result {
 	rng := rand.New(rand.NewPCG(m.seed, 1))
-	order := Order{Service: service, Target: "v2", Duration: m.duration, Revision: 10}
+	order := Order{Service: service, Target: "v2", Duration: m.duration, Revision: storepos.At(0, 10)}
 	tables := make([]*Table, m.instances)
 	start := func(at time.Duration) {
 		for i := range tables {
 			tables[i] = NewTable(playedExposure)
 			tables[i].SetSlack(playedSlack, func() int { return m.instances }, origin.Add(at))
 			tables[i].AddOrder(order, at, origin.Add(at))
-			tables[i].ApplyStatus(Status{Service: service, Target: "v2", State: StateRunning, Revision: 11})
+			tables[i].ApplyStatus(Status{Service: service, Target: "v2", State: StateRunning, Revision: storepos.At(0, 11)})
 		}
 	}
 	start(0)
--- a/internal/migration/migration.go
+++ b/internal/migration/migration.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/cicadawall/cicadawall/internal/storepos"
 )
 
 // State is the state of a migration as operators read it.
@@ -29,8 +31,8 @@
 	Target string
 	// Duration is the time from the order to its deadline.
 	Duration time.Duration
-	// Revision identifies the order among those for the service.
-	Revision int64
+	// Revision identifies the order among those for the service: the position of its row when it was first read.
+	Revision storepos.Position
 }
 
 // Status is the state of a service's migration as recorded in the store.
@@ -38,8 +40,13 @@
 	Service string
 	Target  string
 	State   State
-	// Revision is the revision of the stored record.
-	Revision int64
+	// Revision is the position of the stored record.
+	Revision storepos.Position
+}
+
+// sameRequest reports whether both orders ask for the same. Durations are compared in milliseconds, as peers report them.
+func (o Order) sameRequest(other Order) bool {
+	return o.Service == other.Service && o.Target == other.Target && o.Duration.Milliseconds() == other.Duration.Milliseconds()
 }
 
 // The fraction of sessions on the new version follows from the exposure budget: the fraction of all requests between an
--- a/internal/migration/migration_test.go
+++ b/internal/migration/migration_test.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"testing"
 	"time"
+
+	"github.com/cicadawall/cicadawall/internal/storepos"
 )
 
 const service = "desk"
@@ -13,7 +15,7 @@
 var origin = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 func ordered(target string, revision int64) Order {
-	return Order{Service: service, Target: target, Duration: 20 * time.Second, Revision: revision}
+	return Order{Service: service, Target: target, Duration: 20 * time.Second, Revision: storepos.At(0, revision)}
 }
 
 // Guards against a rolled-back version that receives requests again after the next version is ordered, while its backend
@@ -21,7 +23,7 @@
 func TestRolledBackVersionStaysWithdrawn(t *testing.T) {
 	table := NewTable(0.15)
 	table.AddOrder(ordered("v2", 10), 0, origin)
-	table.ApplyStatus(Status{Service: service, Target: "v2", State: StateRolledBack, Revision: 11})
+	table.ApplyStatus(Status{Service: service, Target: "v2", State: StateRolledBack, Revision: storepos.At(0, 11)})
 	table.AddOrder(ordered("v3", 12), 0, origin)
 	for _, part := range []float64{0.1, 0.6, 0.9} {
 		at := origin.Add(time.Duration(part * float64(20*time.Second)))
@@ -114,7 +116,7 @@
 func TestRecordOfEarlierOrderDoesNotCount(t *testing.T) {
 	table := NewTable(0.15)
 	table.AddOrder(ordered("v2", 10), 0, origin)
-	table.ApplyStatus(Status{Service: service, Target: "v2", State: StateRolledBack, Revision: 11})
+	table.ApplyStatus(Status{Service: service, Target: "v2", State: StateRolledBack, Revision: storepos.At(0, 11)})
 	table.AddOrder(ordered("v2", 20), 0, origin)
 	if p := table.Choose(service, "session", true, origin.Add(19*time.Second)); p.Use != "v2" {
 		t.Errorf("the second order does not move the session to v2: %+v", p)
@@ -168,8 +170,8 @@
 	for _, exposure := range []float64{0.1, 0.2, 0.3} {
 		table := NewTable(exposure)
 		orderedAt := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
-		table.AddOrder(Order{Service: "s", Target: "v2", Duration: duration, Revision: 1}, 0, orderedAt.Add(learnt))
-		table.ApplyStatus(Status{Service: "s", Target: "v2", State: StateRunning, Revision: 2})
+		table.AddOrder(Order{Service: "s", Target: "v2", Duration: duration, Revision: storepos.At(0, 1)}, 0, orderedAt.Add(learnt))
+		table.ApplyStatus(Status{Service: "s", Target: "v2", State: StateRunning, Revision: storepos.At(0, 2)})
 		observeAnswers(table, "v1", 200, 100*time.Millisecond)
 		observeAnswers(table, "v2", minCompletionAnswers, 100*time.Millisecond)
 		last := orderedAt.Add(duration - write)
@@ -193,7 +195,7 @@
 func TestEvidenceOfEarlierOrder(t *testing.T) {
 	orderedAt := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	peer, table := NewTable(0.1), NewTable(0.1)
-	first := Order{Service: "s", Target: "v2", Duration: time.Minute, Revision: 1}
+	first := Order{Service: "s", Target: "v2", Duration: time.Minute, Revision: storepos.At(0, 1)}
 	for _, other := range []*Table{peer, table} {
 		other.AddOrder(first, 0, orderedAt)
 	}
@@ -201,7 +203,7 @@
 		peer.Observe("s", "v2", "c", true, time.Millisecond)
 	}
 	again := first
-	again.Revision = 5
+	again.Revision = storepos.At(0, 5)
 	table.AddOrder(again, 0, orderedAt.Add(time.Second))
 	table.SetPeerCounts("peer", peer.LocalCounts())
 	if decisions := table.Decide(orderedAt.Add(2 * time.Second)); len(decisions) != 1 || decisions[0].Status.State != StateRunning {
@@ -225,8 +227,8 @@
 	orderedAt := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	prepare := func() *Table {
 		table := NewTable(0.1)
-		table.AddOrder(Order{Service: "s", Target: "v2", Duration: duration, Revision: 1}, 0, orderedAt)
-		table.ApplyStatus(Status{Service: "s", Target: "v2", State: StateRunning, Revision: 2})
+		table.AddOrder(Order{Service: "s", Target: "v2", Duration: duration, Revision: storepos.At(0, 1)}, 0, orderedAt)
+		table.ApplyStatus(Status{Service: "s", Target: "v2", State: StateRunning, Revision: storepos.At(0, 2)})
 		observeAnswers(table, "v1", 600, 100*time.Millisecond)
 		observeAnswers(table, "v2", 145, 127*time.Millisecond) // a shift of 0.24
 		return table
--- a/internal/migration/table.go
+++ b/internal/migration/table.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cicadawall/cicadawall/internal/lockorder"
+	"github.com/cicadawall/cicadawall/internal/storepos"
 )
 
 // Key identifies the count of one version's answers to one class of requests since an order.
@@ -13,13 +14,21 @@
 	Service, Version, Class string
 	// OrderRevision is the revision of the order. It keeps counts of different orders apart, because peers receive an order at
 	// different times and a version that is ordered again is tested anew.
-	OrderRevision int64
+	OrderRevision storepos.Position
 }
 
 // serviceMigration is the migration of one service.
 type serviceMigration struct {
 	order  Order
 	status Status
+	// row is the position of the newest row that gave the order: the store may show it again in a later era.
+	row storepos.Position
+	// unconfirmedOrder is set if the order is the first one of the service that this process has read. It may be one of an earlier era that the
+	// operator has written again; peers then tell under which revision they know it.
+	unconfirmedOrder bool
+	// stored is the position of the record of a state that the store was last found to hold for the service, and confirmed that of one with the
+	// state in status.
+	stored, confirmed storepos.Position
 	// started is when the order was given, as far as known: when this instance received it, or earlier if a peer or the store
 	// reports so.
 	started time.Time
@@ -39,6 +48,7 @@
 	instances func() int
 	// processStart is the start of the process; zero if it is unknown.
 	processStart time.Time
+	history      *storepos.History
 
 	mu          *lockorder.Mutex
 	migrations  map[string]*serviceMigration
@@ -50,7 +60,7 @@
 
 // orderStart is the time when an order was given.
 type orderStart struct {
-	revision int64
+	revision storepos.Position
 	at       time.Time
 }
 
@@ -58,6 +68,7 @@
 func NewTable(exposure float64) *Table {
 	return &Table{
 		schedule: schedule{exposure: exposure},
+		history:  storepos.NewHistory(),
 
 		mu:          lockorder.New(lockorder.RankVersions),
 		migrations:  map[string]*serviceMigration{},
@@ -76,29 +87,95 @@
 	t.slack, t.instances, t.processStart = slack, instances, processStart
 }
 
+// SetHistory sets what is known of the eras of the store. It must be called before the table is used.
+func (t *Table) SetHistory(history *storepos.History) { t.history = history }
+
 // AddOrder stores an order and reports whether it is new. Age is the time since it was given.
 func (t *Table) AddOrder(order Order, age time.Duration, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.migration(order.Service)
-	if r.order.Revision >= order.Revision {
-		r.moveStartBack(order.Revision, now.Add(-age))
+	switch t.classify(r, order) {
+	case orderKnown:
+		r.row = storepos.Later(r.row, order.Revision)
+		r.moveStartBack(now.Add(-age))
+		return false
+	case orderRepeated:
+		r.row = order.Revision
+		return false
+	case orderEarlier:
+		return false
+	case orderAdopted:
+		// The counts and the starts that peers report refer to this revision.
+		r.order.Revision, r.unconfirmedOrder = order.Revision, false
+		t.dropLocalCounts(order.Service)
+		r.moveStartBack(now.Add(-age))
 		return false
 	}
 	versions := r.versions
-	if r.order.Target != "" && r.state() == StateRolledBack {
-		versions.add(VersionRecord{Version: r.order.Target, Revision: r.order.Revision, Withdrawn: true})
+	if r.order.Target != "" && r.state(t.history) == StateRolledBack {
+		versions.add(VersionRecord{Version: r.order.Target, Revision: r.order.Revision, Withdrawn: true}, t.history)
 	}
-	versions.add(VersionRecord{Version: order.Target, Revision: order.Revision})
-	replacement := &serviceMigration{order: order, started: now.Add(-age), status: r.status, versions: versions}
-	if recorded := t.orderStarts[order.Service]; recorded.revision == order.Revision {
-		replacement.moveStartBack(recorded.revision, recorded.at)
+	versions.add(VersionRecord{Version: order.Target, Revision: order.Revision}, t.history)
+	replacement := &serviceMigration{
+		order: order, row: order.Revision, unconfirmedOrder: r.order.Target == "", started: now.Add(-age), status: r.status, stored: r.stored,
+		confirmed: r.confirmed, versions: versions,
+	}
+	if recorded := t.orderStarts[order.Service]; t.startsOrder(recorded, order) {
+		replacement.moveStartBack(recorded.at)
 	}
 	t.migrations[order.Service] = replacement
 	t.dropLocalCounts(order.Service)
 	return true
 }
 
+// orderKind says what an order means for one that is in force.
+type orderKind int
+
+const (
+	// orderNew replaces the order in force.
+	orderNew orderKind = iota
+	// orderKnown is the order in force.
+	orderKnown
+	// orderRepeated is the order in force, which the operator has written again after the store lost its row.
+	orderRepeated
+	// orderAdopted is the order in force under the revision by which other instances know it since an earlier era.
+	orderAdopted
+	// orderEarlier was replaced by the order in force.
+	orderEarlier
+)
+
+// classify compares an order with the one in force. The caller holds the lock.
+func (t *Table) classify(r *serviceMigration, order Order) orderKind {
+	sameRequest := r.order.sameRequest(order)
+	laterEra := order.Revision.Era() > r.row.Era()
+	switch {
+	case r.order.Target == "":
+		return orderNew
+	case t.history.Same(order.Revision, r.order.Revision) && sameRequest:
+		return orderKnown
+	case sameRequest && laterEra:
+		return orderRepeated
+	case t.history.Later(order.Revision, r.row) && t.history.Later(order.Revision, r.order.Revision):
+		return orderNew
+	case sameRequest && r.unconfirmedOrder && order.Revision.Era() < r.order.Revision.Era():
+		return orderAdopted
+	case laterEra && !t.orderedBefore(r, order):
+		// The row counts as one of the copy only because it was written before any instance had heard of the store's return.
+		t.history.Limit(storepos.At(order.Revision.Era(), order.Revision.Version()-1))
+		return orderNew
+	default:
+		return orderEarlier
+	}
+}
+
+// orderedBefore reports whether the order can be an earlier one for its target, whose row the store shows again because it lost the rows written
+// since. The caller holds the lock.
+func (t *Table) orderedBefore(r *serviceMigration, order Order) bool {
+	known, ok := r.versions[order.Target]
+	return ok && !t.history.Later(order.Revision, known.Revision)
+}
+
 // migration returns the migration of a service and adds it if there is none. The caller holds the lock.
 func (t *Table) migration(service string) *serviceMigration {
 	r, ok := t.migrations[service]
@@ -109,22 +186,28 @@
 	return r
 }
 
-// moveStartBack adopts an earlier start of the same order.
-func (r *serviceMigration) moveStartBack(revision int64, at time.Time) {
-	if r.order.Revision == revision && at.Before(r.started) {
+// moveStartBack adopts an earlier start of the order.
+func (r *serviceMigration) moveStartBack(at time.Time) {
+	if at.Before(r.started) {
 		r.started = at
 	}
 }
 
+// startsOrder reports whether a recorded start is that of the order. A process that starts after the store's return may have read the order's row in a later era
+// than the one in which the start was recorded; the versions are then equal.
+func (t *Table) startsOrder(start orderStart, order Order) bool {
+	return !start.at.IsZero() && (t.history.Same(start.revision, order.Revision) || start.revision.Version() == order.Revision.Version())
+}
+
 // SetOrderStart adopts the start of a service's order as another instance recorded it.
-func (t *Table) SetOrderStart(service string, revision int64, age time.Duration, now time.Time) {
+func (t *Table) SetOrderStart(service string, revision storepos.Position, age time.Duration, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	reported := orderStart{revision: revision, at: now.Add(-age)}
-	if r, ok := t.migrations[service]; ok {
-		r.moveStartBack(reported.revision, reported.at)
+	if r, ok := t.migrations[service]; ok && t.startsOrder(reported, r.order) {
+		r.moveStartBack(reported.at)
 	}
-	if t.orderStarts[service].revision <= revision {
+	if !t.history.Later(t.orderStarts[service].revision, revision) {
 		t.orderStarts[service] = reported
 	}
 }
@@ -139,31 +222,64 @@
 	}
 }
 
-// ApplyStatus stores the recorded state of a service's migration and reports whether it is newer than the known one.
+// ApplyStatus stores the recorded state of a service's migration and reports whether it is newer than the known one. A record that the store shows
+// again because it lost the later ones changes nothing but what a write has to replace.
 func (t *Table) ApplyStatus(status Status) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.migration(status.Service)
-	r.versions.add(VersionRecord{Version: status.Target, Revision: status.Revision, Withdrawn: status.State == StateRolledBack})
-	if r.status.Revision >= status.Revision {
+	r.versions.add(VersionRecord{Version: status.Target, Revision: status.Revision, Withdrawn: status.State == StateRolledBack}, t.history)
+	r.stored = storepos.Later(r.stored, status.Revision)
+	if status.Target == r.status.Target && status.State == r.status.State {
+		r.confirmed = storepos.Later(r.confirmed, status.Revision)
+	}
+	if !t.history.Later(status.Revision, r.status.Revision) {
 		return false
 	}
+	if status.Target != r.status.Target || status.State != r.status.State {
+		r.confirmed = status.Revision
+	}
 	r.status = status
 	return true
 }
 
+// ConfirmStatus records that a peer has found the recorded state of a service in the store at the position.
+func (t *Table) ConfirmStatus(status Status, at storepos.Position) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r, ok := t.migrations[status.Service]
+	if !ok || status.Target != r.status.Target || status.State != r.status.State {
+		return
+	}
+	r.stored, r.confirmed = storepos.Later(r.stored, at), storepos.Later(r.confirmed, at)
+}
+
+// MarkStatusesRead records that the states of all services were read from the store at the position. Those that were not found there do not exist in its
+// era, or no longer do.
+func (t *Table) MarkStatusesRead(at storepos.Position) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range t.migrations {
+		if r.stored.Era() < at.Era() {
+			r.stored = storepos.At(at.Era(), 0)
+		}
+	}
+}
+
 // statusIsForOrder reports whether the recorded state belongs to the current order. A later revision proves it, since all
-// revisions come from one counter of the store.
-func (r *serviceMigration) statusIsForOrder() bool {
-	return r.status.Target == r.order.Target && r.status.Revision > r.order.Revision
+// revisions come from the store's history.
+func (r *serviceMigration) statusIsForOrder(history *storepos.History) bool {
+	return r.status.Target == r.order.Target && history.Later(r.status.Revision, r.order.Revision)
 }
 
 // finished reports whether the recorded state of the current order is final.
-func (r *serviceMigration) finished() bool { return r.statusIsForOrder() && r.status.State.Final() }
+func (r *serviceMigration) finished(history *storepos.History) bool {
+	return r.statusIsForOrder(history) && r.status.State.Final()
+}
 
 // state returns the state that determines this instance's routing.
-func (r *serviceMigration) state() State {
-	if r.finished() {
+func (r *serviceMigration) state(history *storepos.History) State {
+	if r.finished(history) {
 		return r.status.State
 	}
 	if r.suspect {
@@ -201,7 +317,7 @@
 	}
 	target := r.order.Target
 	elapsedFraction := r.elapsedFraction(now)
-	switch state := r.state(); {
+	switch state := r.state(t.history); {
 	case state == StateRolledBack:
 		// This instance may have found the version bad before the rollback is recorded.
 		if !slices.Contains(preference.Withdrawn, target) {
@@ -269,7 +385,7 @@
 	defer t.mu.Unlock()
 	var services []string
 	for service, r := range t.migrations {
-		if r.order.Target != "" && !r.finished() {
+		if r.order.Target != "" && !r.finished(t.history) {
 			services = append(services, service)
 		}
 	}
--- a/internal/migration/withdrawn.go
+++ b/internal/migration/withdrawn.go
@@ -3,22 +3,24 @@
 import (
 	"maps"
 	"slices"
+
+	"github.com/cicadawall/cicadawall/internal/storepos"
 )
 
-// VersionRecord is the last known event of a software version: the order of it, its completion or its rollback. Revisions come from one
-// counter of the store, so of two records of a version the one with the higher revision is the later event.
+// VersionRecord is the last known event of a software version: the order of it, its completion or its rollback. Revisions are positions of the
+// store, so of two records of a version the one with the later revision is the later event.
 type VersionRecord struct {
 	Version  string
-	Revision int64
+	Revision storepos.Position
 	// Withdrawn is set if the event is a rollback. The version must not serve any requests until it is ordered again.
 	Withdrawn bool
 }
 
 // supersedes reports whether the record replaces another one of the same version. A rollback that is not yet recorded has the revision of
 // its order and replaces it.
-func (v VersionRecord) supersedes(other VersionRecord) bool {
-	if v.Revision != other.Revision {
-		return v.Revision > other.Revision
+func (v VersionRecord) supersedes(other VersionRecord, history *storepos.History) bool {
+	if !history.Same(v.Revision, other.Revision) {
+		return history.Later(v.Revision, other.Revision)
 	}
 	return v.Withdrawn && !other.Withdrawn
 }
@@ -26,8 +28,8 @@
 // versionRecords holds the last record of each version of a service. Adding records in any order gives the same result.
 type versionRecords map[string]VersionRecord
 
-func (r versionRecords) add(record VersionRecord) {
-	if known, ok := r[record.Version]; !ok || record.supersedes(known) {
+func (r versionRecords) add(record VersionRecord, history *storepos.History) {
+	if known, ok := r[record.Version]; !ok || record.supersedes(known, history) {
 		r[record.Version] = record
 	}
 }
@@ -57,5 +59,5 @@
 func (t *Table) AddVersionRecord(service string, record VersionRecord) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.migration(service).versions.add(record)
+	t.migration(service).versions.add(record, t.history)
 }
--- a/internal/migration/withdrawn_test.go
+++ b/internal/migration/withdrawn_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
+
+	"github.com/cicadawall/cicadawall/internal/storepos"
 )
 
 // Guards against an instance that takes a version out of service because a peer that lags still reports its rollback, although the
@@ -12,15 +14,15 @@
 func TestOldRollbackDoesNotReturn(t *testing.T) {
 	events := []func(table *Table){
 		func(table *Table) {
-			table.AddVersionRecord(service, VersionRecord{Version: "v2", Revision: 11, Withdrawn: true})
+			table.AddVersionRecord(service, VersionRecord{Version: "v2", Revision: storepos.At(0, 11), Withdrawn: true})
 		},
 		func(table *Table) { table.AddOrder(ordered("v2", 20), 0, origin) },
 		func(table *Table) {
-			table.ApplyStatus(Status{Service: service, Target: "v2", State: StateCompleted, Revision: 25})
+			table.ApplyStatus(Status{Service: service, Target: "v2", State: StateCompleted, Revision: storepos.At(0, 25)})
 		},
 		func(table *Table) { table.AddOrder(ordered("v3", 30), 0, origin) },
 		func(table *Table) {
-			table.ApplyStatus(Status{Service: service, Target: "v3", State: StateRolledBack, Revision: 31})
+			table.ApplyStatus(Status{Service: service, Target: "v3", State: StateRolledBack, Revision: storepos.At(0, 31)})
 		},
 	}
 	for first := range events {
--- a/internal/rowfeed/eras.go
+++ b/internal/rowfeed/eras.go
@@ -23,12 +23,17 @@
 // Eras holds the newest era of the store that an answer has named. All calls of an instance share it, so that each learns of a return of the store
 // from the first answer to any of them. It is safe for concurrent use.
 type Eras struct {
+	// History tells which rows come from the copies with which the store came back.
+	History *storepos.History
+
 	log *slog.Logger
 	// countChange is called at each change of the era.
 	countChange func()
 
 	mu     *lockorder.Mutex
 	newest int64
+	// read is set once rows were read, and returned once a later era was seen after that. The first position that is read then bounds the rows of the copy.
+	read, returned bool
 	// calls are the calls for changes that are under way, with the functions that end them.
 	calls map[*call]context.CancelCauseFunc
 }
@@ -38,13 +43,16 @@
 
 // NewEras returns Eras that have seen no answer.
 func NewEras(log *slog.Logger, countChange func()) *Eras {
-	return &Eras{log: log, countChange: countChange, mu: lockorder.New(lockorder.RankLeases), calls: map[*call]context.CancelCauseFunc{}}
+	return &Eras{
+		History: storepos.NewHistory(), log: log, countChange: countChange, mu: lockorder.New(lockorder.RankLeases), calls: map[*call]context.CancelCauseFunc{},
+	}
 }
 
 // Observe records the era of an answer; zero if the answer names none. It returns ErrEarlierEra if a later era has been seen. A change of the era
 // ends the calls for changes that are under way.
 func (e *Eras) Observe(era int64) error {
 	previous, overtaken := e.advance(era)
+	e.History.Reach(era)
 	for _, end := range overtaken {
 		end(ErrEraChanged)
 	}
@@ -68,11 +76,26 @@
 	previous = e.newest
 	if era > previous {
 		e.newest = era
+		e.returned = e.read
 		overtaken = slices.Collect(maps.Values(e.calls))
 	}
 	return previous, overtaken
 }
 
+// ObserveRows records the position of an answer with rows; its era was given to Observe.
+func (e *Eras) ObserveRows(at storepos.Position) {
+	e.mu.Lock()
+	current, returned := at.Era() == e.newest, e.returned
+	e.read = true
+	e.mu.Unlock()
+	switch {
+	case current && returned:
+		e.History.Begin(at)
+	case current:
+		e.History.Reach(at.Era())
+	}
+}
+
 // CallAfter returns a context for a call that asks for the changes after the position. The context ends, with ErrEraChanged as its cause,
 // when a later era is seen: the call can then return nothing of use, and one that was under way while the store was away may hang.
 // CallAfter returns ErrEraChanged if a later era has been seen already.
--- a/internal/rowfeed/relay.go
+++ b/internal/rowfeed/relay.go
@@ -142,6 +142,7 @@
 	if err := s.Eras.Observe(page.Position.Era()); err != nil {
 		return Page{}, err
 	}
+	s.Eras.ObserveRows(page.Position)
 	page.Relayed = true
 	s.recordUpstream(table, relay)
 	return page, nil
--- a/internal/storepos/position.go
+++ b/internal/storepos/position.go
@@ -42,9 +42,9 @@
 	}
 }
 
-// Later returns b if a precedes it, and a otherwise.
+// Later returns b if a precedes it or only b names an era, and a otherwise.
 func Later(a, b Position) Position {
-	if a.Precedes(b) {
+	if a.Precedes(b) || a.era == 0 && b.era != 0 {
 		return b
 	}
 	return a
--- a/internal/storepos/position_test.go
+++ b/internal/storepos/position_test.go
@@ -28,4 +28,7 @@
 	if got := Later(At(2, 3), At(0, 900)); got != At(2, 3) {
 		t.Errorf("later of two positions without an order: %s", got)
 	}
+	if got := Later(At(0, 900), At(2, 3)); got != At(2, 3) {
+		t.Errorf("later of two positions without an order: %s", got)
+	}
 }
