Register again and keep leaving servers after a return of the store

Seen in tests: after the store came back from an older copy, a server that had said that it leaves got requests again, because the copy showed its entry of before. The rows by which a starting instance finds the others, and by which it knows that a zone was evacuated, were lost for good.

Change: in the first complete read of an era, a process that is known to leave stays so until its next entry.

--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -112,6 +112,18 @@
 	return dropped
 }
 
+// KeepLeaving marks the entries of processes whose known entries say that they leave. The store shows older entries again when it comes back from an
+// older copy, and a process that leaves does not come back.
+func (d *Directory) KeepLeaving(entries []Entry) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for i, entry := range entries {
+		if r, ok := d.rows[entry.ID]; ok && r.entry.sameProcess(entry) {
+			entries[i].Leaving = entry.Leaving || r.entry.Leaving
+		}
+	}
+}
+
 // Put adds or updates one entry.
 func (d *Directory) Put(entry Entry, now time.Time) {
 	d.mu.Lock()
--- a/internal/evacuation/table.go
+++ b/internal/evacuation/table.go
@@ -78,6 +78,8 @@
 	t.known = true
 	if t.eraReadAt.IsZero() || !t.readThrough.SameEra(revision) {
 		t.readThrough, t.eraReadAt = revision, now
+		// The store may have lost what this instance or another one had recorded.
+		clear(t.recorded)
 	}
 	t.readThrough = storepos.Later(t.readThrough, revision)
 	var missing []Record
--- a/internal/rowfeed/rowfeed.go
+++ b/internal/rowfeed/rowfeed.go
@@ -87,8 +87,9 @@
 
 // Batch is a set of rows that a follower passes to its handler.
 type Batch struct {
-	// Complete is set if Rows contains the whole table.
+	// Complete is set if Rows contains the whole table, and NewEra if it is the first such batch after the store came back from an older copy.
 	Complete bool
+	NewEra   bool
 	Rows     []Row
 	// Position is that of the newest change of the store that the batch covers.
 	Position storepos.Position
@@ -297,7 +298,7 @@
 	}
 	f.position = storepos.Later(f.position, page.Position)
 	reconnectedAt := f.recordAnswer(page, newEra)
-	f.Handle(Batch{Complete: complete, Rows: page.Rows, Position: page.Position, Clock: page.Clock, ReconnectedAt: reconnectedAt})
+	f.Handle(Batch{Complete: complete, NewEra: newEra, Rows: page.Rows, Position: page.Position, Clock: page.Clock, ReconnectedAt: reconnectedAt})
 	if f.Mirror != nil {
 		f.Mirror.apply(page, complete, reconnectedAt, time.Now())
 	}
