Let the store of the soak come back from older copies

Each run of the soak now lets the store come back from a copy up to 3 s old, once or twice in a row, after being away by resets, refusals or silence; the operator and the servers write again what is lost. The draws are apart from those of the other faults, so that the seeds play the same faults as before. At the end, a manifest with a new key must be in force at every instance.

--- a/internal/e2e/soak_test.go
+++ b/internal/e2e/soak_test.go
@@ -34,10 +34,16 @@
 	// soakPace is the pause of a caller between two requests. Without it, requests that are refused at once would be so many that they allow any
 	// number of repeats.
 	soakPace = 40 * time.Millisecond
+	// maxCopyAge and maxStoreAway bound how old the copy is with which the store comes back, and how long it is away before.
+	maxCopyAge   = 3 * time.Second
+	maxStoreAway = 1500 * time.Millisecond
 	// maxFaultInterval is the longest pause between the starts of two faults. Most faults last longer, so they overlap.
 	maxFaultInterval = 400 * time.Millisecond
 )
 
+// lastKey is a key that only the manifest which is written after all faults holds.
+const lastKey = "key-last"
+
 // forgedPrefix begins the identifiers of requests with a key that no organisation has. One of forgedInterval requests is such a one.
 const (
 	forgedPrefix   = "forged-"
@@ -93,6 +99,9 @@
 	for caller := range callersPerInstance * instances {
 		s.callers.Go(func() { s.runCaller(caller) })
 	}
+	// The returns of the store have draws of their own, so that the other faults of a seed stay the same.
+	s.activeFaults.Add(1)
+	go s.returnFromCopies(rand.New(rand.NewPCG(seed, 1)))
 	for range faultsPerInstance * instances {
 		s.inject()
 		sleep(time.Duration(s.random.Int64N(int64(maxFaultInterval))))
@@ -198,6 +207,35 @@
 	}
 }
 
+// returnFromCopies lets the store come back from an older copy, once or twice in a row. The operator and the servers then write again what is lost, the servers as
+// often as it takes for the store's versions to pass those that it had.
+func (s *soak) returnFromCopies(random *rand.Rand) {
+	defer s.activeFaults.Done()
+	faults := []rowstore.Fault{rowstore.FaultReset, rowstore.FaultBusy, rowstore.FaultSilent}
+	for range 1 + random.IntN(2) {
+		backup := s.store.Copy()
+		sleep(time.Duration(random.Int64N(int64(maxCopyAge))))
+		s.store.SetFault(faults[random.IntN(len(faults))])
+		sleep(time.Duration(random.Int64N(int64(maxStoreAway))))
+		lost := s.store.Restore(backup)
+		s.store.SetFault(rowstore.FaultNone)
+		for _, row := range lost {
+			switch {
+			case row.Table != "op" && row.Table != "servers":
+			case row.Deleted:
+				s.store.Remove(row.Table, row.Key)
+			default:
+				s.store.Put(row.Table, row.Key, row.Value)
+			}
+		}
+		for range lost {
+			for _, server := range s.servers {
+				s.writeServerRow(server, "ready")
+			}
+		}
+	}
+}
+
 // writeUnusualManifest writes a manifest with the keys, in which orders need no key and a further route is of a kind that no instance knows.
 func (s *soak) writeUnusualManifest(keys ...string) {
 	manifest := s.nextManifest()
@@ -272,6 +310,13 @@
 			})
 		}
 	}
+	s.writeUnusualManifest(fleetKey, lastKey)
+	for _, instance := range s.instances {
+		eventually(s.t, recoveryTimeout, instance.name+" follows the last manifest", func() bool {
+			id := fmt.Sprintf("last-%d", s.lastRequest.Add(1))
+			return s.sendWithKey(instance, http.MethodPost, "/look/x", id, lastKey).status == http.StatusOK
+		})
+	}
 }
 
 // check compares the replies to the callers with the executions at the backend servers.
