--- a/internal/evacuation/record.go
+++ b/internal/evacuation/record.go
@@ -39,7 +39,7 @@
 func (r Record) supersedes(other Record) bool {
 	switch {
 	case r.Revision != other.Revision:
-		return laterRevision(r.Revision, other.Revision)
+		return r.Revision.After(other.Revision)
 	case r.Active != other.Active:
 		return r.Active
 	default:
@@ -47,14 +47,6 @@
 	}
 }
 
-// laterRevision reports whether a is later than b. Instances of earlier releases name no era; with them, the versions are all there is to compare.
-func laterRevision(a, b storepos.Position) bool {
-	if (a.Era() == 0) != (b.Era() == 0) {
-		return a.Version() > b.Version()
-	}
-	return b.Precedes(a)
-}
-
 // View is an immutable copy of the records for decisions on requests. The nil View has no records.
 type View struct {
 	evacuated []string
--- a/internal/evacuation/table.go
+++ b/internal/evacuation/table.go
@@ -76,7 +76,9 @@
 func (t *Table) EndMissing(present []string, revision storepos.Position, now time.Time) {
 	t.mu.Lock()
 	t.known = true
-	if t.eraReadAt.IsZero() || !t.readThrough.SameEra(revision) {
+	if t.eraReadAt.IsZero() {
+		t.eraReadAt = now
+	} else if !t.readThrough.SameEra(revision) {
 		t.readThrough, t.eraReadAt = revision, now
 		// The store may have lost what this instance or another one had recorded.
 		clear(t.recorded)
@@ -121,7 +123,7 @@
 	t.mu.RLock()
 	usable := make([]Record, 0, len(records))
 	for _, record := range records[:min(len(records), MaxRecords)] {
-		if record.valid() && (!record.Active || laterRevision(record.Revision, t.readThrough) || t.mayBeRewritten(record, now)) {
+		if record.valid() && (!record.Active || record.Revision.After(t.readThrough) || t.mayBeRewritten(record, now)) {
 			usable = append(usable, record)
 		}
 	}
@@ -257,7 +259,7 @@
 	for len(t.records) > MaxRecords {
 		oldest, found := Record{}, false
 		for _, record := range t.records {
-			if !record.Active && (!found || laterRevision(oldest.Revision, record.Revision)) {
+			if !record.Active && (!found || oldest.Revision.After(record.Revision)) {
 				oldest, found = record, true
 			}
 		}
--- a/internal/migration/decide.go
+++ b/internal/migration/decide.go
@@ -13,7 +13,7 @@
 // Decision is a state that must be recorded for a service.
 type Decision struct {
 	Status Status
-	// PreviousRow is the position of the recorded state to be replaced, with version 0 if there is none. It is of an earlier era than OrderRow if the
+	// PreviousRow is the position of the recorded state to be replaced, with version 0 if there is none. If it is of an earlier era of the store, the
 	// recorded states must be read before.
 	PreviousRow storepos.Position
 	// NewCount and OldCount are the counts of the new and the old versions on which the decision is based.
@@ -85,15 +85,10 @@
 
 // decision returns the decision to record a state of the current order. The caller holds the lock.
 func (t *Table) decision(r *serviceMigration, state State, now time.Time) Decision {
-	decision := Decision{
+	return Decision{
 		Status: Status{Service: r.order.Service, Target: r.order.Target, State: state}, PreviousRow: r.stored,
 		ElapsedFraction: r.elapsedFraction(now), Order: r.order, OrderAge: now.Sub(r.started), OrderRow: r.row,
 	}
-	if r.stored.IsZero() && !t.history.Returned() {
-		// No state of the service is known, and none can have been lost.
-		decision.PreviousRow = t.history.Newest()
-	}
-	return decision
 }
 
 // compare sums the counts of all instances since the order and tests them in total and for each class. The start and the pace of answers
--- a/internal/rowfeed/rowfeed.go
+++ b/internal/rowfeed/rowfeed.go
@@ -225,10 +225,10 @@
 func (f *Follower) ReportPeerRow(row storepos.Position, now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.readThrough.Precedes(row) {
+	if !row.After(f.readThrough) {
 		return false
 	}
-	if !f.readThrough.Precedes(f.peerRow) {
+	if !f.peerRow.After(f.readThrough) {
 		f.peerRow, f.peerRowAt = row, now
 		return false
 	}
--- a/internal/storepos/position.go
+++ b/internal/storepos/position.go
@@ -42,6 +42,15 @@
 	}
 }
 
+// After reports whether a change at the position is taken for later than one at the other. Instances of earlier releases name no era; between such a
+// position and one with an era, the versions are all there is to compare.
+func (p Position) After(other Position) bool {
+	if (p.era == 0) != (other.era == 0) {
+		return p.version > other.version
+	}
+	return other.Precedes(p)
+}
+
 // Later returns b if a precedes it or only b names an era, and a otherwise.
 func Later(a, b Position) Position {
 	if a.Precedes(b) || a.era == 0 && b.era != 0 {
