--- a/internal/standin/rowstore/copy.go
+++ b/internal/standin/rowstore/copy.go
@@ -41,6 +41,14 @@
 	return lost
 }
 
+// CutFeeds closes the connections of the feed calls that wait for changes, as a store does that goes away.
+func (s *Store) CutFeeds() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.cut)
+	s.cut = make(chan struct{})
+}
+
 // OmitEra makes the store answer without its era, as stores did before eras were introduced.
 func (s *Store) OmitEra() {
 	s.mu.Lock()
--- a/internal/standin/rowstore/rowstore.go
+++ b/internal/standin/rowstore/rowstore.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cicadawall/cicadawall/internal/lockorder"
+	"github.com/cicadawall/cicadawall/internal/standin/common"
 	"github.com/cicadawall/cicadawall/platform/wire"
 )
 
@@ -52,8 +53,10 @@
 	history []wire.Row
 	// changed is closed and replaced at each change.
 	changed chan struct{}
-	fault   Fault
-	calls   int
+	// cut is closed and replaced when the connections of the feed calls that wait are closed.
+	cut   chan struct{}
+	fault Fault
+	calls int
 	// heldTransactions are the transactions that FaultHeld keeps back, in order of arrival.
 	heldTransactions []wire.Transaction
 	// maxWait limits the time that a feed call waits for changes; zero means no limit besides that of the call.
@@ -63,7 +66,7 @@
 // New returns an empty store.
 func New() *Store {
 	return &Store{
-		startedAt: time.Now(), mu: lockorder.New(lockorder.RankStandin), era: 1, rows: map[rowID]wire.Row{}, changed: make(chan struct{}),
+		startedAt: time.Now(), mu: lockorder.New(lockorder.RankStandin), era: 1, rows: map[rowID]wire.Row{}, changed: make(chan struct{}), cut: make(chan struct{}),
 	}
 }
 
@@ -243,13 +246,15 @@
 		rows := s.selectRowsLocked(table,
 			func(r wire.Row) bool { return r.RowVersion > after },
 			func(a, b wire.Row) bool { return a.RowVersion < b.RowVersion })
-		reply, changed := s.answerLocked(rows), s.changed
+		reply, changed, cut := s.answerLocked(rows), s.changed, s.cut
 		s.mu.Unlock()
 		if historyDropped || len(rows) > 0 {
 			return reply, !historyDropped
 		}
 		select {
 		case <-changed:
+		case <-cut:
+			common.CloseConnection()
 		case <-timer.C:
 			return reply, true
 		case <-ctx.Done():
