Play crashing prompts in groups of eight

TestGroupsOfCrashingPromptsAreHeld could judge only if five servers ended, and with groups of four 3 or 4 did on an idle machine: the choice of servers at one moment decided. Groups of eight at twelve servers end at least five at once. The checks and bounds stay.

--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -241,9 +241,10 @@
 }
 
 // Guards against requests with a harmful part that come in groups: servers that they end at the same moment must count as evidence (second review
-// case 10, BUDGET).
+// case 10, BUDGET). A group of eight at twelve servers ends at least crashEvidence of them at once. With four, which servers the requests chose at the
+// same moment decided whether later crashes, one after the other, held the part before there were so many.
 func TestGroupsOfCrashingPromptsAreHeld(t *testing.T) {
-	const groups, groupSize, groupInterval, soundInterval = 4, 4, 5 * time.Second, 100 * time.Millisecond
+	const groups, groupSize, groupInterval, soundInterval = 4, 8, 5 * time.Second, 100 * time.Millisecond
 	for name, moment := range map[string]crashMoment{
 		"before the head": crashBeforeHead, "after the head": crashAfterHead, "after an event": crashAfterEvent,
 	} {
