Keep a bad version withdrawn whose order is replaced before its rollback

Callers could get a version that had been found bad: if the operator ordered another version after the running state of the first was recorded, and before its rollback was, its withdrawal got the revision of its order, which the later running state superseded.

Cause: AddOrder dated the withdrawal by the order, not by the last recorded event of it.

--- a/internal/migration/table.go
+++ b/internal/migration/table.go
@@ -114,7 +114,7 @@
 	}
 	versions := r.versions
 	if r.order.Target != "" && r.state(t.history) == StateRolledBack {
-		versions.add(VersionRecord{Version: r.order.Target, Revision: r.order.Revision, Withdrawn: true}, t.history)
+		versions.add(VersionRecord{Version: r.order.Target, Revision: r.lastEvent(t.history), Withdrawn: true}, t.history)
 	}
 	versions.add(VersionRecord{Version: order.Target, Revision: order.Revision}, t.history)
 	replacement := &serviceMigration{
@@ -272,6 +272,14 @@
 	return r.status.Target == r.order.Target && history.Later(r.status.Revision, r.order.Revision)
 }
 
+// lastEvent returns the revision of the last recorded event of the current order.
+func (r *serviceMigration) lastEvent(history *storepos.History) storepos.Position {
+	if r.statusIsForOrder(history) {
+		return r.status.Revision
+	}
+	return r.order.Revision
+}
+
 // finished reports whether the recorded state of the current order is final.
 func (r *serviceMigration) finished(history *storepos.History) bool {
 	return r.statusIsForOrder(history) && r.status.State.Final()
--- a/internal/migration/withdrawn_test.go
+++ b/internal/migration/withdrawn_test.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
@@ -59,3 +60,17 @@
 		t.Errorf("withdrawn versions are %v, want v2 among them", withdrawn)
 	}
 }
+
+// Guards against a version that was found bad and may be used again, because the operator ordered another one before the rollback was recorded, but after the
+// running state was.
+func TestSuspectVersionOfReplacedOrderStaysWithdrawn(t *testing.T) {
+	table := NewTable(0.1)
+	first := ordered("v2", 10)
+	table.AddOrder(first, 0, time.Unix(0, 0))
+	table.ApplyStatus(Status{Service: service, Target: "v2", State: StateRunning, Revision: storepos.At(0, 11)})
+	table.MarkSuspect(first)
+	table.AddOrder(ordered("v3", 20), 0, time.Unix(1, 0))
+	if preference := table.Choose(service, "", true, time.Unix(2, 0)); !slices.Contains(preference.Withdrawn, "v2") {
+		t.Errorf("v2 was found bad and may serve requests: %+v", preference)
+	}
+}
