Tell orders that are written again from new ones after several returns

A property test of returns of the store in any order found, in the code of the commits before: a starting instance that reads an order written before anybody noticed the return, and takes up its peers' earlier one; the repetition of an order that undoes the withdrawal of its version, once a starting instance has told of it as an event; and rows that are compared wrongly when the start of an era was noticed by nobody.

Change: orders of earlier eras are weighed against the row that was read in the newest one; a starting instance tells of no order event before a peer has confirmed the order; positions of eras without a known start compare by version with those of the era before.

All of this acts only where the store names its era.

--- a/internal/api/peer.gen.go
+++ b/internal/api/peer.gen.go
@@ -470,6 +470,9 @@
 	Suspect bool   `json:"suspect,omitempty" yaml:"suspect,omitempty"`
 	Target  string `json:"target" yaml:"target"`
 
+	// Unconfirmed Whether the sender has read the order itself since its start, and no other instance has told it of the order.
+	Unconfirmed bool `json:"unconfirmed,omitempty" yaml:"unconfirmed,omitempty"`
+
 	// Versions Last known event of each version that was ordered.
 	Versions []GatewayVersion `json:"versions,omitempty" yaml:"versions,omitempty"`
 }
--- a/internal/exchange/merge.go
+++ b/internal/exchange/merge.go
@@ -170,6 +170,9 @@
 	}
 	if order.Target != "" {
 		e.Migrations.AddOrder(order, time.Duration(m.AgeMillis)*time.Millisecond, now)
+		if !m.Unconfirmed {
+			e.Migrations.ConfirmOrder(m.Service)
+		}
 	}
 	if m.StateRevision > 0 {
 		status := migration.Status{
--- a/internal/exchange/state.go
+++ b/internal/exchange/state.go
@@ -50,7 +50,7 @@
 			Revision: view.Order.Revision.Version(), Era: view.Order.Revision.Era(), AgeMillis: view.Age.Milliseconds(), Suspect: view.Suspect,
 			State: string(view.Status.State), StateTarget: view.Status.Target,
 			StateRevision: view.Status.Revision.Version(), StateRevisionEra: view.Status.Revision.Era(),
-			StateRow: view.Confirmed.Version(), StateRowEra: view.Confirmed.Era(),
+			StateRow: view.Confirmed.Version(), StateRowEra: view.Confirmed.Era(), Unconfirmed: view.Unconfirmed,
 			Versions: encodeVersions(view.Versions),
 		})
 	}
--- a/internal/migration/decide.go
+++ b/internal/migration/decide.go
@@ -179,6 +179,8 @@
 	Versions []VersionRecord
 	// Confirmed is where the state was last found in the store.
 	Confirmed storepos.Position
+	// Unconfirmed is set if this process has read the order itself and no peer has told of it.
+	Unconfirmed bool
 }
 
 // Views returns a copy of all migrations.
@@ -187,8 +189,8 @@
 	defer t.mu.Unlock()
 	views := make([]View, 0, len(t.migrations))
 	for _, r := range t.migrations {
-		views = append(views, View{Order: r.order, Status: r.status, Age: now.Sub(r.started), Suspect: r.suspect, Versions: r.versions.all(),
-			Confirmed: r.confirmed})
+		views = append(views, View{Order: r.order, Status: r.status, Age: now.Sub(r.started), Suspect: r.suspect, Versions: t.reportedVersions(r),
+			Confirmed: r.confirmed, Unconfirmed: r.unconfirmedOrder && r.order.Revision.Era() != 0})
 	}
 	return views
 }
--- a/internal/migration/table.go
+++ b/internal/migration/table.go
@@ -23,8 +23,8 @@
 	status Status
 	// row is the position of the newest row that gave the order: the store may show it again in a later era.
 	row storepos.Position
-	// unconfirmedOrder is set if the order is the first one of the service that this process has read. It may be one of an earlier era that the
-	// operator has written again; peers then tell under which revision they know it.
+	// unconfirmedOrder is set if the order is the first one of the service that this process has read, and no peer has told of it. It may be one of an earlier
+	// era that the operator has written again; peers then tell under which revision they know it.
 	unconfirmedOrder bool
 	// stored is the position of the record of a state that the store was last found to hold for the service, and confirmed that of one with the
 	// state in status.
@@ -106,7 +106,10 @@
 	case orderEarlier:
 		return false
 	case orderAdopted:
-		// The counts and the starts that peers report refer to this revision.
+		// The counts and the starts that peers report refer to this revision. The row that was read is no event of the version.
+		if known := r.versions[order.Target]; !known.Withdrawn && t.history.Same(known.Revision, r.order.Revision) {
+			r.versions[order.Target] = VersionRecord{Version: order.Target, Revision: order.Revision}
+		}
 		r.order.Revision, r.unconfirmedOrder = order.Revision, false
 		t.dropLocalCounts(order.Service)
 		r.moveStartBack(now.Add(-age))
@@ -129,6 +132,27 @@
 	return true
 }
 
+// ConfirmOrder records that a peer has told what it knows of the service, after its order was added.
+func (t *Table) ConfirmOrder(service string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r, ok := t.migrations[service]; ok {
+		r.unconfirmedOrder = false
+	}
+}
+
+// reportedVersions returns the records of versions for peers. That of an unconfirmed order is left out: if the operator wrote the order again after the store had
+// lost it, peers would take it for a new order of a version that may be withdrawn.
+func (t *Table) reportedVersions(r *serviceMigration) []VersionRecord {
+	records := r.versions.all()
+	if !r.unconfirmedOrder || r.order.Revision.Era() == 0 {
+		return records
+	}
+	return slices.DeleteFunc(records, func(record VersionRecord) bool {
+		return record.Version == r.order.Target && !record.Withdrawn && t.history.Same(record.Revision, r.order.Revision)
+	})
+}
+
 // orderKind says what an order means for one that is in force.
 type orderKind int
 
@@ -148,32 +172,54 @@
 // classify compares an order with the one in force. The caller holds the lock.
 func (t *Table) classify(r *serviceMigration, order Order) orderKind {
 	sameRequest := r.order.sameRequest(order)
-	laterEra := order.Revision.Era() > r.row.Era()
+	era, rowEra := order.Revision.Era(), r.row.Era()
+	later := t.history.Later(order.Revision, r.order.Revision)
 	switch {
 	case r.order.Target == "":
 		return orderNew
-	case t.history.Same(order.Revision, r.order.Revision) && sameRequest:
+	case sameRequest && t.history.Same(order.Revision, r.order.Revision):
 		return orderKnown
-	case sameRequest && laterEra:
-		return orderRepeated
-	case t.history.Later(order.Revision, r.row) && t.history.Later(order.Revision, r.order.Revision):
+	case era != 0 && rowEra != 0 && era > rowEra:
+		if sameRequest {
+			return orderRepeated
+		}
+		if t.orderedEarlier(r, order.Target, order.Revision) {
+			return orderEarlier
+		}
+		if !later {
+			t.markWritten(order.Revision)
+		}
 		return orderNew
-	case sameRequest && r.unconfirmedOrder && order.Revision.Era() < r.order.Revision.Era():
-		return orderAdopted
-	case laterEra && !t.orderedBefore(r, order):
-		// The row counts as one of the copy only because it was written before any instance had heard of the store's return.
-		t.history.Limit(storepos.At(order.Revision.Era(), order.Revision.Version()-1))
+	case era != 0 && era < rowEra:
+		if sameRequest && r.unconfirmedOrder {
+			return orderAdopted
+		}
+		if !later || sameRequest {
+			return orderEarlier
+		}
+		if !t.orderedEarlier(r, r.order.Target, r.row) {
+			t.markWritten(r.row)
+			return orderEarlier
+		}
+		return orderNew
+	case later && t.history.Later(order.Revision, r.row):
 		return orderNew
 	default:
 		return orderEarlier
 	}
 }
 
-// orderedBefore reports whether the order can be an earlier one for its target, whose row the store shows again because it lost the rows written
-// since. The caller holds the lock.
-func (t *Table) orderedBefore(r *serviceMigration, order Order) bool {
-	known, ok := r.versions[order.Target]
-	return ok && !t.history.Later(order.Revision, known.Revision)
+// orderedEarlier reports whether the target was ordered in an earlier era than that of the row. The store then shows the row again because it lost those
+// written since. The caller holds the lock.
+func (t *Table) orderedEarlier(r *serviceMigration, target string, row storepos.Position) bool {
+	known, ok := r.versions[target]
+	return ok && known.Revision.Era() < row.Era() && !t.history.Later(row, known.Revision)
+}
+
+// markWritten records that the row was written in the era in which it was read. It counted as one of the copy because it was written before any instance had
+// heard of the store's return.
+func (t *Table) markWritten(row storepos.Position) {
+	t.history.Limit(storepos.At(row.Era(), row.Version()-1))
 }
 
 // migration returns the migration of a service and adds it if there is none. The caller holds the lock.
@@ -193,10 +239,9 @@
 	}
 }
 
-// startsOrder reports whether a recorded start is that of the order. A process that starts after the store's return may have read the order's row in a later era
-// than the one in which the start was recorded; the versions are then equal.
+// startsOrder reports whether a recorded start is that of the order.
 func (t *Table) startsOrder(start orderStart, order Order) bool {
-	return !start.at.IsZero() && (t.history.Same(start.revision, order.Revision) || start.revision.Version() == order.Revision.Version())
+	return !start.at.IsZero() && t.history.Same(start.revision, order.Revision)
 }
 
 // SetOrderStart adopts the start of a service's order as another instance recorded it.
--- a/internal/migration/withdrawn.go
+++ b/internal/migration/withdrawn.go
@@ -17,12 +17,15 @@
 }
 
 // supersedes reports whether the record replaces another one of the same version. A rollback that is not yet recorded has the revision of
-// its order and replaces it.
+// its order and replaces it. Of two records of one event, the one from the earlier era shows that a row of a later era comes from the copy.
 func (v VersionRecord) supersedes(other VersionRecord, history *storepos.History) bool {
 	if !history.Same(v.Revision, other.Revision) {
 		return history.Later(v.Revision, other.Revision)
 	}
-	return v.Withdrawn && !other.Withdrawn
+	if v.Withdrawn != other.Withdrawn {
+		return v.Withdrawn
+	}
+	return v.Revision.Era() < other.Revision.Era()
 }
 
 // versionRecords holds the last record of each version of a service. Adding records in any order gives the same result.
--- a/internal/storepos/history.go
+++ b/internal/storepos/history.go
@@ -8,6 +8,9 @@
 	"github.com/cicadawall/cicadawall/internal/lockorder"
 )
 
+// firstEra is the lowest era that a store names.
+const firstEra = 1
+
 // maxStarts bounds the eras whose starts are kept and exchanged between instances.
 const maxStarts = 8
 
@@ -106,17 +109,19 @@
 	return p.era == known.newest || p.era == 0 && !returned
 }
 
-// Written returns the position at which the row that was read at p was written, as far as known.
+// Written returns the position at which the row that was read at p was written, as far as known. Eras whose start nobody noticed cannot be told from the one
+// before; the result names the first era of such a sequence, which is 1 if no start is known.
 func (h *History) Written(p Position) Position {
-	known := h.known.Load()
-	for p.era > 0 {
-		start, ok := known.starts[p.era]
-		if !ok || p.version > start {
-			break
+	if p.era == 0 {
+		return p
+	}
+	era := int64(firstEra)
+	for start, version := range h.known.Load().starts {
+		if start <= p.era && version < p.version {
+			era = max(era, start)
 		}
-		p.era--
 	}
-	return p
+	return At(era, p.version)
 }
 
 // Later reports whether the row at a was written after the one at b.
